Add design page, domain types, interfaces and the reducer's outline

Cause: everything later depends on the seams between reducer, runtime and adapters, so they come before the modules.

The page weighs store leases, hashes over each daemon's own view, and a quorum of support for ownership. Store leases were ruled out by cost: 7,400 daemons renewing every 5 s need 1,480 writes/s, and every store outage would lose all owners.

No figures are measured yet.

--- /dev/null
+++ b/core/control.go
@@ -0,0 +1,271 @@
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/automation"
+	"github.com/gooseberrylock/gooseberrylock/core/config"
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/core/membership"
+	"github.com/gooseberrylock/gooseberrylock/core/moves"
+	"github.com/gooseberrylock/gooseberrylock/core/ownership"
+	"github.com/gooseberrylock/gooseberrylock/core/zones"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// Control is the control state of a daemon.
+type Control struct {
+	cfg     Config
+	rng     *rand.Rand
+	wall    time.Time
+	leaving bool // a graceful leave was requested
+	left    bool // effect.Left has been emitted
+	away    bool // the zone of this VM is out
+
+	members *membership.Tracker
+	keys    *ownership.Holder
+	config  *config.Cache
+	moves   *moves.Controller
+
+	configView *model.ConfigView // rebuilt when the configuration changes
+}
+
+func newControl(cfg Config, now model.Time) *Control {
+	members := membership.New(membership.Config{
+		Self:              cfg.Self,
+		Boot:              cfg.Boot,
+		Group:             cfg.Group,
+		Zone:              cfg.Zone,
+		Address:           cfg.Address,
+		HeartbeatInterval: cfg.HeartbeatInterval,
+		Fence:             cfg.Fence,
+		Grace:             cfg.Grace,
+	}, now)
+	cache := config.New(config.Config{Self: cfg.Self, WriteTimeout: cfg.WriteTimeout})
+	return &Control{
+		cfg:        cfg,
+		rng:        rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
+		members:    members,
+		keys:       ownership.New(members),
+		config:     cache,
+		moves:      moves.New(cfg.Self, cfg.Boot, cache),
+		configView: &model.ConfigView{},
+	}
+}
+
+// reduce applies one event. Each handler reports whether the configuration in force has
+// changed.
+func (c *Control) reduce(ev event.Event, now model.Time, out *effect.List) {
+	changed := c.handle(ev, now, out)
+	if changed {
+		c.rebuild(now)
+	}
+	c.updateAway(now, out)
+	c.keys.Update(now, out)
+	if c.publishes(ev, changed) {
+		out.Add(effect.PublishView{View: c.view(now)})
+	}
+	if c.leaving && !c.left && c.keys.Abstained() {
+		c.left = true
+		out.Add(effect.Left{})
+	}
+}
+
+func (c *Control) handle(ev event.Event, now model.Time, out *effect.List) bool {
+	switch e := ev.(type) {
+	case event.Tick:
+		return c.tick(e, now, out)
+	case event.HeartbeatReceived:
+		c.members.Heartbeat(&e.Heartbeat, now)
+		c.moves.Heartbeat(&e.Heartbeat, now, out)
+		return c.config.Heartbeat(&e.Heartbeat, now, out)
+	case event.VMsListed:
+		c.members.Listed(e.VMs, now)
+	case event.ObjectsReceived:
+		return c.config.Received(e, now, out)
+	case event.StoreFailed:
+		c.config.StoreFailed(e, now, out)
+	case event.PullFailed:
+		c.config.PullFailed(e, now, out)
+	case event.WriteDone:
+		return c.config.WriteDone(e, now, out)
+	case event.MoveOutcomes:
+		c.moves.Outcomes(e, now, out)
+	case event.KeyDrained:
+		c.keys.Drained(e, now, out)
+	case event.ReleaseReceived:
+		c.keys.Released(&e.Release, now, out)
+	case event.LeaveRequested:
+		c.leaving = true
+	case event.OperatorCommand:
+		c.command(e, now, out)
+		return true
+	}
+	return false
+}
+
+// publishes reports whether the event can have changed the view. Heartbeats renew leases,
+// but publishing at every tick is enough for that, since a tick is much shorter than Fence.
+func (c *Control) publishes(ev event.Event, changed bool) bool {
+	if changed {
+		return true
+	}
+	switch ev.(type) {
+	case event.Tick, event.ReleaseReceived, event.KeyDrained, event.LeaveRequested:
+		return true
+	}
+	return false
+}
+
+func (c *Control) tick(e event.Tick, now model.Time, out *effect.List) bool {
+	c.wall = e.Wall
+	live := c.members.Live(now)
+	changed := c.config.Tick(live, now, out)
+	if c.moves.Tick(c.moveInput(live), now, out) {
+		changed = true
+	}
+	if c.configView.Paused != automation.State(c.config, c.wall).Paused {
+		changed = true
+	}
+	c.proposeRoster(now, out)
+	if c.members.Due(now) {
+		c.sendHeartbeats(now, out)
+	}
+	return changed
+}
+
+func (c *Control) moveInput(live []model.VM) moves.Input {
+	return moves.Input{
+		Wall:   c.wall,
+		Paused: automation.State(c.config, c.wall).Paused,
+		Live:   live,
+	}
+}
+
+func (c *Control) proposeRoster(now model.Time, out *effect.List) {
+	key := model.ObjectKey{Kind: model.ObjectRoster, Name: c.cfg.Group}
+	if c.config.Pending(key) || !c.config.StoreUp(now) {
+		return
+	}
+	next, ok := c.members.NextRoster(now)
+	if !ok {
+		return
+	}
+	current, _ := c.config.Get(key)
+	c.config.Write(0, model.Object{Key: key, Roster: next}, current.Version, now, out)
+}
+
+func (c *Control) sendHeartbeats(now model.Time, out *effect.List) {
+	hb := c.members.Compose(now)
+	c.config.Fill(&hb)
+	c.keys.Fill(&hb)
+	c.moves.Fill(&hb)
+	for _, p := range c.members.Targets(now) {
+		out.Add(effect.SendHeartbeat{To: p.VM, Address: p.Address, Heartbeat: hb})
+	}
+}
+
+func (c *Control) command(e event.OperatorCommand, now model.Time, out *effect.List) {
+	in := c.moveInput(c.members.Live(now))
+	switch cmd := e.Body.(type) {
+	case event.ApplyTemplate:
+		c.applyTemplate(e.Command, cmd, now, out)
+	case event.SetZone:
+		zones.Command(c.config, e.Command, e.By, cmd, c.wall, now, out)
+	case event.SetPause:
+		automation.Command(c.config, e.Command, e.By, cmd, c.wall, now, out)
+	case event.StartMove:
+		c.moves.Start(e.Command, e.By, cmd, in, now, out)
+	case event.TakeBackMove:
+		c.moves.TakeBack(e.Command, e.By, cmd, in, now, out)
+	}
+}
+
+func (c *Control) applyTemplate(id uint64, cmd event.ApplyTemplate, now model.Time, out *effect.List) {
+	t := cmd.Template
+	obj := model.Object{
+		Key:      model.ObjectKey{Kind: model.ObjectTemplate, Name: string(t.Customer)},
+		Template: &t,
+	}
+	c.config.Write(id, obj, cmd.IfVersion, now, out)
+}
+
+// updateAway starts the hand-over when this VM leaves or its zone is taken out, and ends
+// it, with a new boot, when the zone returns.
+func (c *Control) updateAway(now model.Time, out *effect.List) {
+	away := c.leaving || c.configView.ZonesOut[c.cfg.Zone]
+	if away == c.away {
+		return
+	}
+	c.away = away
+	if !away {
+		c.members.Rejoin(model.Boot(c.rng.Uint64()|1), now)
+	}
+	c.keys.SetLeaving(away, now, out)
+}
+
+// rebuild derives the configuration view and the keys to be owned from the cache.
+func (c *Control) rebuild(now model.Time) {
+	v := &model.ConfigView{
+		Digest:    c.config.Digest(),
+		Revision:  c.config.Revision(),
+		Templates: make(map[model.CustomerID]*model.Template),
+		ZonesOut:  zones.Out(c.config),
+		Paused:    automation.State(c.config, c.wall).Paused,
+		Shares:    c.moves.Shares(),
+	}
+	for _, o := range c.config.All(model.ObjectTemplate) {
+		v.Templates[o.Template.Customer] = o.Template
+	}
+	c.configView = v
+	roster, ok := c.config.Get(model.ObjectKey{Kind: model.ObjectRoster, Name: c.cfg.Group})
+	if ok {
+		c.members.SetRoster(roster.Roster, now)
+	}
+	c.keys.SetKeys(ownedKeys(c.config.All(model.ObjectTemplate)), now)
+}
+
+// ownedKeys lists every shard key of the templates, in the order of the templates.
+func ownedKeys(templates []model.Object) []ownership.Key {
+	var keys []ownership.Key
+	for _, o := range templates {
+		for i := range o.Template.Routes {
+			keys = appendRouteKeys(keys, o.Template.Customer, &o.Template.Routes[i])
+		}
+	}
+	return keys
+}
+
+func appendRouteKeys(keys []ownership.Key, customer model.CustomerID, r *model.RouteConfig) []ownership.Key {
+	for _, v := range r.Versions {
+		for _, s := range v.Shards {
+			k := ownership.Key{
+				Key: model.ShardKey{
+					Route:   model.Route{Customer: customer, Route: r.ID},
+					Version: v.ID,
+					Shard:   s.ID,
+				},
+				AttemptTimeout: r.AttemptTimeout,
+			}
+			for _, b := range s.Replicas {
+				k.Zones = append(k.Zones, b.Zone)
+			}
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+func (c *Control) view(now model.Time) *model.View {
+	return &model.View{
+		Self:     c.cfg.Self,
+		Boot:     c.members.Boot(),
+		Config:   c.configView,
+		Peers:    c.members.Peers(now),
+		Owners:   c.keys.Owners(now),
+		Leases:   c.keys.Leases(now),
+		Draining: c.away,
+	}
+}
--- /dev/null
+++ b/model/id.go
@@ -0,0 +1,97 @@
+// Package model holds the domain types that all other packages share: identifiers,
+// templates, configuration objects, the immutable routing view, requests,
+// coverage and refusals. It has no behaviour beyond validation and lookups.
+package model
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Time is monotonic time since the start of the process. It is never compared
+// between processes.
+type Time time.Duration
+
+// Add returns t shifted by d.
+func (t Time) Add(d time.Duration) Time { return t + Time(d) }
+
+// Sub returns the duration from u to t.
+func (t Time) Sub(u Time) time.Duration { return time.Duration(t - u) }
+
+// Never is later than every other Time.
+const Never = Time(1<<63 - 1)
+
+// VM names one VM that runs a daemon. It is stable over restarts of the process.
+type VM string
+
+// AvailabilityZone names one availability zone.
+type AvailabilityZone string
+
+// CustomerID names one customer.
+type CustomerID string
+
+// RouteID names one route of a customer, for example "portal-search".
+type RouteID string
+
+// VersionID names one version of a route's backend servers.
+type VersionID string
+
+// ShardID names one shard of a route.
+type ShardID string
+
+// BackendServerID names one backend server, unique within a deployment.
+type BackendServerID string
+
+// Boot identifies one start of a process; a restart draws a new one. 0 means unknown.
+type Boot uint64
+
+// Snapshot numbers index states of one version; higher is newer. 0 means unknown.
+type Snapshot uint64
+
+// QueryID identifies one request of a caller within the entry daemon that took it.
+type QueryID uint64
+
+// AttemptID identifies one attempt within the owner that sent it.
+type AttemptID uint64
+
+// Route names a route together with its customer.
+type Route struct {
+	Customer CustomerID
+	Route    RouteID
+}
+
+// String returns "customer/route".
+func (r Route) String() string { return string(r.Customer) + "/" + string(r.Route) }
+
+// ShardKey names one shard of one version of a route. It is the unit of ownership.
+type ShardKey struct {
+	Route
+	Version VersionID
+	Shard   ShardID
+}
+
+// String returns "customer/route/version/shard".
+func (k ShardKey) String() string {
+	return k.Route.String() + "/" + string(k.Version) + "/" + string(k.Shard)
+}
+
+// Less orders shard keys by their parts.
+func (k ShardKey) Less(o ShardKey) bool { return k.Compare(o) < 0 }
+
+// Compare returns -1, 0 or 1 by the order of the parts.
+func (k ShardKey) Compare(o ShardKey) int {
+	if c := strings.Compare(string(k.Customer), string(o.Customer)); c != 0 {
+		return c
+	}
+	if c := strings.Compare(string(k.Route.Route), string(o.Route.Route)); c != 0 {
+		return c
+	}
+	if c := strings.Compare(string(k.Version), string(o.Version)); c != 0 {
+		return c
+	}
+	return strings.Compare(string(k.Shard), string(o.Shard))
+}
+
+// String returns the boot number in base 16.
+func (b Boot) String() string { return strconv.FormatUint(uint64(b), 16) }
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Regenerates the code under api/ and peer/peerpb/. Needs protoc; the other generators
+# are tools of go.mod.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$(mktemp -d)
+trap 'rm -rf "$bin"' EXIT
+go build -o "$bin/" github.com/ogen-go/ogen/cmd/ogen \
+  google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+for api in caller operator backend store; do
+  "$bin/ogen" --loglevel error --target "api/$api" --package "$api" --clean "api/$api.yaml"
+done
+PATH="$bin:$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+  --go-drpc_out=. --go-drpc_opt=paths=source_relative peer/peerpb/peer.proto
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Runs every check of the project: formatter, vet, linter, build, tests and the race
+# detector over the decision core.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export CGO_ENABLED=1
+unformatted=$(gofmt -l .)
+if [ -n "$unformatted" ]; then
+  printf 'gofmt: these files are not formatted:\n%s\n' "$unformatted"
+  exit 1
+fi
+go vet ./...
+go tool staticcheck ./...
+go build ./...
+go test -count=1 ./...
+go test -count=1 -race ./core/...
