--- /dev/null
+++ b/caller.go
@@ -0,0 +1,160 @@
+package gooseberrylock
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	api "github.com/gooseberrylock/gooseberrylock/api/caller"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+const (
+	// busyRetryAfter is the advice to a caller that was refused because the daemon is full.
+	busyRetryAfter = 100 * time.Millisecond
+	// readHeaderTimeout ends connections that send nothing.
+	readHeaderTimeout = 10 * time.Second
+)
+
+// callerServer serves requests of callers, health and readiness.
+func (d *Daemon) callerServer() *http.Server {
+	h, err := api.NewServer(&callerHandler{d: d}, api.WithTracerProvider(d.tracing.provider))
+	if err != nil {
+		panic(err) // only a fault in the generated code can cause this
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", d.tracing.extract(h))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+// Ready reports whether the daemon has a configuration and takes new requests.
+func (d *Daemon) Ready() bool { return !d.draining.Load() && d.metrics.ready.Load() }
+
+// callerHandler implements the generated caller API.
+type callerHandler struct{ d *Daemon }
+
+// Search implements api.Handler.
+func (h *callerHandler) Search(ctx context.Context, req *api.SearchRequest, p api.SearchParams) (*api.Answer, error) {
+	r := searchRequest(req, p.Customer, p.Route)
+	return h.do(ctx, r)
+}
+
+// Read implements api.Handler.
+func (h *callerHandler) Read(ctx context.Context, req *api.SearchRequest, p api.ReadParams) (*api.Answer, error) {
+	r := searchRequest(req, p.Customer, p.Route)
+	r.Kind = model.KindRead
+	r.Shard = model.ShardID(p.Shard)
+	return h.do(ctx, r)
+}
+
+// Submit implements api.Handler.
+func (h *callerHandler) Submit(ctx context.Context, req *api.SubmitRequest, p api.SubmitParams) (*api.Answer, error) {
+	return h.do(ctx, model.Request{
+		Route:       model.Route{Customer: model.CustomerID(p.Customer), Route: model.RouteID(p.Route)},
+		Kind:        model.KindSubmit,
+		Shard:       model.ShardID(p.Shard),
+		ClassName:   req.Class.Or(""),
+		Budget:      time.Duration(req.DeadlineMs.Or(0)) * time.Millisecond,
+		MinCoverage: -1,
+		Key:         req.Key.Or(""),
+		Repeat:      req.Repeat.Or(false),
+		Payload:     []byte(req.Query),
+	})
+}
+
+func searchRequest(req *api.SearchRequest, customer, route string) model.Request {
+	return model.Request{
+		Route:       model.Route{Customer: model.CustomerID(customer), Route: model.RouteID(route)},
+		Kind:        model.KindSearch,
+		ClassName:   req.Class.Or(""),
+		Budget:      time.Duration(req.DeadlineMs.Or(0)) * time.Millisecond,
+		MinCoverage: req.MinCoverage.Or(-1),
+		Snapshot:    model.Snapshot(req.Snapshot.Or(0)),
+		Limit:       req.Limit.Or(0),
+		Payload:     []byte(req.Query),
+	}
+}
+
+func (h *callerHandler) do(ctx context.Context, r model.Request) (*api.Answer, error) {
+	a, err := h.d.Do(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	out := &api.Answer{
+		Complete: a.Coverage.Complete(),
+		Coverage: coverageToAPI(&a.Coverage),
+		Version:  string(a.Version),
+		Snapshot: int64(a.Snapshot),
+		Attempts: a.Attempts,
+		Needed:   a.Needed,
+		Hits:     make([]api.Hit, 0, len(a.Hits)),
+	}
+	for _, hit := range a.Hits {
+		o := api.Hit{Document: hit.Document, Score: hit.Score}
+		if len(hit.Body) > 0 {
+			o.Body = api.NewOptString(string(hit.Body))
+		}
+		out.Hits = append(out.Hits, o)
+	}
+	if sc := trace.SpanContextFromContext(ctx); sc.IsSampled() {
+		id := sc.TraceID()
+		out.TraceId = api.NewOptString(hex.EncodeToString(id[:]))
+	}
+	return out, nil
+}
+
+func coverageToAPI(c *model.Coverage) api.Coverage {
+	out := api.Coverage{Wanted: c.Wanted, Answered: c.Answered, Missing: make([]api.MissingShard, 0, len(c.Missing))}
+	for _, m := range c.Missing {
+		o := api.MissingShard{Shard: string(m.Shard), Reason: string(m.Reason)}
+		if m.Peer != "" {
+			o.Peer = api.NewOptString(m.Peer)
+		}
+		out.Missing = append(out.Missing, o)
+	}
+	return out
+}
+
+// NewError implements api.Handler.
+func (h *callerHandler) NewError(_ context.Context, err error) *api.RefusedStatusCode {
+	var r *model.Refusal
+	if !errors.As(err, &r) {
+		// The request was refused by the generated code before any of it was run.
+		r = &model.Refusal{Code: model.RefusedInvalid, Step: "decode request", Reason: err.Error()}
+	}
+	out := api.Refusal{Code: api.RefusalCode(r.Code), Step: r.Step, Reason: r.Reason}
+	if r.Peer != "" {
+		out.Peer = api.NewOptString(r.Peer)
+	}
+	if r.RetryAfter > 0 {
+		out.RetryAfterMs = api.NewOptInt64(r.RetryAfter.Milliseconds())
+	}
+	if r.Coverage != nil {
+		out.Coverage = api.NewOptCoverage(coverageToAPI(r.Coverage))
+	}
+	return &api.RefusedStatusCode{StatusCode: refusalStatus(r.Code), Response: out}
+}
+
+func refusalStatus(c model.RefusalCode) int {
+	switch c {
+	case model.RefusedInvalid:
+		return http.StatusBadRequest
+	case model.RefusedDuplicate:
+		return http.StatusConflict
+	case model.RefusedNotRun:
+		return http.StatusServiceUnavailable
+	case model.RefusedLowCoverage:
+		return http.StatusBadGateway
+	}
+	return http.StatusGatewayTimeout
+}
--- /dev/null
+++ b/cmd/gooseberrylockd/main.go
@@ -0,0 +1,65 @@
+// Command gooseberrylockd runs one daemon of the query tier.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberrylock/gooseberrylock"
+	"github.com/gooseberrylock/gooseberrylock/settings"
+)
+
+// shutdownTimeout bounds a graceful shutdown; the longest request may take ten minutes.
+const shutdownTimeout = 11 * time.Minute
+
+func main() {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "gooseberrylockd --settings FILE",
+		Short: "Run one daemon of the gooseberrylock query tier",
+		Long: "Runs until SIGTERM or SIGINT, which start a graceful shutdown: the daemon hands its\n" +
+			"shards over and lets running requests finish. A second signal stops it at once.",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), file) },
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file in JSON with comments (required)")
+	_ = cmd.MarkFlagRequired("settings")
+	if err := cmd.ExecuteContext(context.Background()); err != nil {
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	d, err := gooseberrylock.New(gooseberrylock.Config{Settings: *s})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		go func() {
+			<-signals
+			cancel()
+		}()
+		shutdownCtx, done := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer done()
+		if err := d.Shutdown(shutdownCtx); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	return d.Run(ctx)
+}
--- a/core/control.go
+++ b/core/control.go
@@ -22,14 +22,17 @@
 	wall    time.Time
 	leaving bool // a graceful leave was requested
 	left    bool // effect.Left has been emitted
-	away    bool // the zone of this VM is out
+	away    bool // this VM leaves or its zone is out
+	awayAt  model.Time
 
 	members *membership.Tracker
 	keys    *ownership.Holder
 	config  *config.Cache
 	moves   *moves.Controller
 
-	configView *model.ConfigView // rebuilt when the configuration changes
+	configView   *model.ConfigView // rebuilt when the configuration changes
+	wantedShards int
+	revisions    map[model.VM]uint64 // highest object version in force on each peer
 }
 
 func newControl(cfg Config, now model.Time) *Control {
@@ -52,6 +55,7 @@
 		config:     cache,
 		moves:      moves.New(cfg.Self, cfg.Boot, cache),
 		configView: &model.ConfigView{},
+		revisions:  make(map[model.VM]uint64),
 	}
 }
 
@@ -79,6 +83,7 @@
 		return c.tick(e, now, out)
 	case event.HeartbeatReceived:
 		c.members.Heartbeat(&e.Heartbeat, now)
+		c.revisions[e.Heartbeat.From] = e.Heartbeat.Revision
 		c.moves.Heartbeat(&e.Heartbeat, now, out)
 		return c.config.Heartbeat(&e.Heartbeat, now, out)
 	case event.VMsListed:
@@ -200,6 +205,7 @@
 		return
 	}
 	c.away = away
+	c.awayAt = now
 	if !away {
 		c.members.Rejoin(model.Boot(c.rng.Uint64()|1), now)
 	}
@@ -224,7 +230,9 @@
 	if ok {
 		c.members.SetRoster(roster.Roster, now)
 	}
-	c.keys.SetKeys(ownedKeys(c.config.All(model.ObjectTemplate)), now)
+	keys := ownedKeys(c.config.All(model.ObjectTemplate))
+	c.wantedShards = len(keys)
+	c.keys.SetKeys(keys, now)
 }
 
 // ownedKeys lists every shard key of the templates, in the order of the templates.
@@ -266,6 +274,6 @@
 		Peers:    c.members.Peers(now),
 		Owners:   c.keys.Owners(now),
 		Leases:   c.keys.Leases(now),
-		Draining: c.away,
+		Draining: c.away && now.Sub(c.awayAt) >= c.cfg.DrainDelay,
 	}
 }
--- a/core/core.go
+++ b/core/core.go
@@ -18,6 +18,7 @@
 	DefaultGrace             = 1200 * time.Millisecond
 	DefaultTickInterval      = 50 * time.Millisecond
 	DefaultWriteTimeout      = 2 * time.Second
+	DefaultDrainDelay        = 2 * time.Second
 )
 
 // Config identifies a daemon and sets the timing of its control state.
@@ -32,6 +33,7 @@
 	Fence             time.Duration
 	Grace             time.Duration
 	WriteTimeout      time.Duration
+	DrainDelay        time.Duration // after the start of a leave, new requests are still taken this long
 }
 
 // withDefaults returns c with zero durations replaced by their defaults.
@@ -40,6 +42,7 @@
 	setDefault(&c.Fence, DefaultFence)
 	setDefault(&c.Grace, DefaultGrace)
 	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.DrainDelay, DefaultDrainDelay)
 	return c
 }
 
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,213 @@
+// Package cli implements the gooseberrylock command line.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/gooseberrylock/gooseberrylock/api/caller"
+	"github.com/gooseberrylock/gooseberrylock/api/operator"
+)
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // anything without a code of its own
+	ExitUsage       = 2 // wrong arguments, or a file that does not pass check
+	ExitConflict    = 3 // somebody else changed the object
+	ExitUnavailable = 4 // the daemon or the store cannot be reached; nothing was changed
+	ExitUnknown     = 5 // the outcome is not known
+	ExitPartial     = 6 // the answer is not complete
+	ExitRefused     = 7 // the request was refused
+)
+
+// Defaults of flags.
+const (
+	defaultDaemon  = "http://127.0.0.1:7002"
+	defaultCaller  = "http://127.0.0.1:7000"
+	defaultTimeout = 20 * time.Second
+)
+
+// exitError carries the exit code of a failed command.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+func fail(code int, format string, args ...any) error {
+	return &exitError{code: code, err: fmt.Errorf(format, args...)}
+}
+
+// app holds the flags that all commands share.
+type app struct {
+	out, errOut io.Writer
+	daemon      string // operator URL
+	caller      string // caller URL
+	token       string
+	output      string // text or json
+	timeout     time.Duration
+}
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	a := &app{out: out, errOut: errOut}
+	root := a.root()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, "error:", err)
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	return ExitFailed
+}
+
+func (a *app) root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "gooseberrylock",
+		Short: "Operate and try out the gooseberrylock query tier",
+		Long: `Operate and try out the gooseberrylock query tier.
+
+Exit codes: 0 done, 1 failed, 2 wrong arguments or a file that does not pass check,
+3 conflict with another operator, 4 daemon or store not reachable (nothing changed),
+5 outcome unknown, 6 partial answer, 7 request refused.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if a.output != "text" && a.output != "json" {
+				return fail(ExitUsage, "--output %q is not text or json", a.output)
+			}
+			return nil
+		},
+	}
+	f := cmd.PersistentFlags()
+	f.StringVar(&a.daemon, "daemon", envOr("GOOSEBERRYLOCK_DAEMON", defaultDaemon), "operator URL of any daemon")
+	f.StringVar(&a.caller, "caller", envOr("GOOSEBERRYLOCK_CALLER", defaultCaller), "caller URL of any daemon")
+	f.StringVar(&a.token, "token", os.Getenv("GOOSEBERRYLOCK_TOKEN"), "bearer token for the operator address")
+	f.StringVar(&a.output, "output", "text", "output format: text or json")
+	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "longest time for one command")
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exitError{code: ExitUsage, err: err} })
+	cmd.AddCommand(a.applyCommand(), a.getCommand(), a.diffCommand(), a.pauseCommand(), a.resumeCommand(),
+		a.zoneCommand(), a.movesCommand(), a.statusCommand(), a.searchCommand(), a.readCommand(),
+		a.submitCommand(), a.checkCommand(), a.standinCommand())
+	return cmd
+}
+
+func envOr(name, value string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return value
+}
+
+// Token implements operator.SecuritySource.
+func (a *app) Token(context.Context, operator.OperationName) (operator.Token, error) {
+	return operator.Token{Token: a.token}, nil
+}
+
+func (a *app) operatorClient() (*operator.Client, error) {
+	c, err := operator.NewClient(a.daemon, a, operator.WithClient(&http.Client{Timeout: a.timeout}))
+	if err != nil {
+		return nil, fail(ExitUsage, "--daemon %q: %v", a.daemon, err)
+	}
+	return c, nil
+}
+
+func (a *app) callerClient() (*caller.Client, error) {
+	c, err := caller.NewClient(a.caller, caller.WithClient(&http.Client{Timeout: a.timeout}))
+	if err != nil {
+		return nil, fail(ExitUsage, "--caller %q: %v", a.caller, err)
+	}
+	return c, nil
+}
+
+// operatorError turns an error of an operator call into one with an exit code and the next
+// step.
+func (a *app) operatorError(err error) error {
+	var status *operator.ErrorStatusCode
+	if errors.As(err, &status) {
+		return fail(ExitFailed, "daemon %s: %s", status.Response.Peer.Or(a.daemon), status.Response.Reason)
+	}
+	if isDial(err) {
+		return fail(ExitUnavailable, "no daemon answers at %s: %v; name another one with --daemon", a.daemon, err)
+	}
+	return fail(ExitUnknown, "%v; run the command again to see whether it took effect", err)
+}
+
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// print writes v as JSON, or calls text.
+func (a *app) print(v any, text func(w io.Writer)) error {
+	if a.output == "json" {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	text(a.out)
+	return nil
+}
+
+// result prints the result of an operator's command and returns its exit code as an error.
+func (a *app) result(res *operator.CommandResult, done string) error {
+	message := res.Message.Or("")
+	err := a.print(res, func(w io.Writer) {
+		switch res.Code {
+		case operator.CommandResultCodeOk:
+			fmt.Fprintf(w, "%s (version %d)\n", done, res.Version.Or(0))
+		case operator.CommandResultCodeOverride:
+			fmt.Fprintf(w, "%s as an override: in force now, written to the store when it is reachable again\n", done)
+		}
+		if message != "" && res.Code == operator.CommandResultCodeOk {
+			fmt.Fprintln(w, message)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	switch res.Code {
+	case operator.CommandResultCodeConflict:
+		return fail(ExitConflict, "conflict, nothing was changed: %s; look at it with `get` or `diff` and apply again", message)
+	case operator.CommandResultCodeInvalid:
+		return fail(ExitUsage, "invalid, nothing was changed: %s", message)
+	case operator.CommandResultCodeStoreUnavailable:
+		return fail(ExitUnavailable, "the store is not reachable, nothing was changed: %s; try again later", message)
+	case operator.CommandResultCodeOutcomeUnknown:
+		return fail(ExitUnknown, "outcome unknown: %s; read the object before trying again", message)
+	}
+	return nil
+}
+
+func join(list []string) string {
+	if len(list) == 0 {
+		return "none"
+	}
+	return strings.Join(list, ", ")
+}
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,185 @@
+// Package strictjson decodes JSON with comments strictly: unknown fields, duplicate
+// names and values of the wrong type are errors that name the file, line and field.
+package strictjson
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/tailscale/hujson"
+)
+
+// Error is one fault in a document.
+type Error struct {
+	File   string
+	Line   int    // from 1; 0 if unknown
+	Field  string // path such as "routes[0].timeout"; "" for the whole document
+	Reason string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Line > 0 {
+		fmt.Fprintf(&b, ":%d", e.Line)
+	}
+	if e.Field != "" {
+		fmt.Fprintf(&b, ": field %q", e.Field)
+	}
+	b.WriteString(": ")
+	b.WriteString(e.Reason)
+	return b.String()
+}
+
+// Document is a decoded text that can find the lines of its fields.
+type Document struct {
+	file string
+	text []byte // standard JSON of the same length as the input, so that offsets agree
+}
+
+// Decode parses text into v. file is used in errors only.
+func Decode(file string, text []byte, v any) (*Document, error) {
+	std, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return nil, &Error{File: file, Line: lineInMessage(err), Reason: err.Error()}
+	}
+	d := &Document{file: file, text: std}
+	if err := json.Unmarshal(std, v, json.RejectUnknownMembers(true)); err != nil {
+		return nil, d.convert(err)
+	}
+	return d, nil
+}
+
+func lineInMessage(err error) int {
+	var line int
+	if i := strings.Index(err.Error(), "line "); i >= 0 {
+		if _, scanErr := fmt.Sscanf(err.Error()[i:], "line %d", &line); scanErr != nil {
+			return 0
+		}
+	}
+	return line
+}
+
+func (d *Document) convert(err error) error {
+	var semantic *json.SemanticError
+	if errors.As(err, &semantic) {
+		return &Error{
+			File:   d.file,
+			Line:   d.line(semantic.ByteOffset),
+			Field:  fieldPath(semantic.JSONPointer),
+			Reason: semanticReason(semantic),
+		}
+	}
+	var syntactic *jsontext.SyntacticError
+	if errors.As(err, &syntactic) {
+		return &Error{
+			File:   d.file,
+			Line:   d.line(syntactic.ByteOffset),
+			Field:  fieldPath(syntactic.JSONPointer),
+			Reason: syntacticReason(syntactic),
+		}
+	}
+	return &Error{File: d.file, Reason: err.Error()}
+}
+
+func semanticReason(e *json.SemanticError) string {
+	if errors.Is(e.Err, json.ErrUnknownName) {
+		return "unknown field"
+	}
+	if e.Err != nil {
+		return e.Err.Error()
+	}
+	if e.GoType != nil {
+		return fmt.Sprintf("a JSON %v cannot be used as %v", e.JSONKind, e.GoType)
+	}
+	return e.Error()
+}
+
+func syntacticReason(e *jsontext.SyntacticError) string {
+	if errors.Is(e.Err, jsontext.ErrDuplicateName) {
+		return "duplicate field name"
+	}
+	if e.Err != nil {
+		return e.Err.Error()
+	}
+	return e.Error()
+}
+
+func (d *Document) line(offset int64) int {
+	if offset < 0 || offset > int64(len(d.text)) {
+		return 0
+	}
+	// The offset may lie before the white space that precedes the value.
+	for offset < int64(len(d.text)) && strings.IndexByte(" \t\r\n,", d.text[offset]) >= 0 {
+		offset++
+	}
+	return bytes.Count(d.text[:offset], []byte{'\n'}) + 1
+}
+
+// fieldPath turns /routes/0/timeout into routes[0].timeout.
+func fieldPath(p jsontext.Pointer) string {
+	var b strings.Builder
+	for tok := range p.Tokens() {
+		if tok != "" && strings.Trim(tok, "0123456789") == "" {
+			b.WriteString("[" + tok + "]")
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(tok)
+	}
+	return b.String()
+}
+
+// Fault returns an error for a field given by its path, for example
+// Fault("must be positive", "routes", 0, "timeout").
+func (d *Document) Fault(reason string, path ...any) error {
+	var p jsontext.Pointer
+	for _, part := range path {
+		p = p.AppendToken(fmt.Sprint(part))
+	}
+	return &Error{File: d.file, Line: d.lineOf(p), Field: fieldPath(p), Reason: reason}
+}
+
+// lineOf finds the line of a value by its pointer, or of its nearest parent.
+func (d *Document) lineOf(p jsontext.Pointer) int {
+	dec := jsontext.NewDecoder(bytes.NewReader(d.text))
+	best, bestLen := 0, -1
+	for {
+		if _, err := dec.ReadToken(); err != nil {
+			return best
+		}
+		at := dec.StackPointer()
+		if at == p {
+			return d.line(dec.InputOffset() - 1)
+		}
+		if p.Contains(at) || at.Contains(p) {
+			if n := len(at); n > bestLen && at.Contains(p) {
+				best, bestLen = d.line(dec.InputOffset()-1), n
+			}
+		}
+	}
+}
+
+// Duration is a time.Duration that is written with its unit, for example "150ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration with a unit, such as \"150ms\" or \"2s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
--- /dev/null
+++ b/metrics.go
@@ -0,0 +1,169 @@
+package gooseberrylock
+
+import (
+	"net/http"
+	"regexp"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// reservoirSize and reservoirAlpha give timers a sample of the last minutes with a 99.9%
+// confidence of 5%.
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// meters holds the metrics of a daemon.
+type meters struct {
+	registry      metrics.Registry
+	controlReduce metrics.Timer
+	trafficReduce metrics.Timer
+	attempts      metrics.Timer
+	hedges        metrics.Counter
+	storeCalls    metrics.Counter
+	answers       metrics.Counter
+	partial       metrics.Counter
+	needed        metrics.Counter
+	sent          metrics.Counter
+	leases        metrics.Gauge
+	revision      metrics.Gauge
+	ready         atomic.Bool
+}
+
+func newMeters() *meters {
+	r := metrics.NewRegistry()
+	return &meters{
+		registry:      r,
+		controlReduce: newTimer(r, "control.reduce"),
+		trafficReduce: newTimer(r, "traffic.reduce"),
+		attempts:      newTimer(r, "attempt.latency"),
+		hedges:        metrics.NewRegisteredCounter("attempt.hedges", r),
+		storeCalls:    metrics.NewRegisteredCounter("store.calls", r),
+		answers:       metrics.NewRegisteredCounter("answers", r),
+		partial:       metrics.NewRegisteredCounter("answers.partial", r),
+		needed:        metrics.NewRegisteredCounter("answers.attempts.needed", r),
+		sent:          metrics.NewRegisteredCounter("answers.attempts.sent", r),
+		leases:        metrics.NewRegisteredGauge("ownership.leases", r),
+		revision:      metrics.NewRegisteredGauge("config.revision", r),
+	}
+}
+
+func newTimer(r metrics.Registry, name string) metrics.Timer {
+	h := metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+	t := metrics.NewCustomTimer(h, metrics.NewMeter())
+	if err := r.Register(name, t); err != nil {
+		panic(err) // only a doubled name can cause this
+	}
+	return t
+}
+
+func (m *meters) count(c effect.Count) {
+	metrics.GetOrRegisterCounter(c.Name, m.registry).Inc(c.Add)
+}
+
+func (m *meters) attempt(outcome model.OutcomeCode, hedge bool, took time.Duration) {
+	m.attempts.Update(took)
+	if hedge {
+		m.hedges.Inc(1)
+	}
+	metrics.GetOrRegisterCounter("attempt.outcome."+outcome.String(), m.registry).Inc(1)
+}
+
+func (m *meters) refused(code model.RefusalCode) {
+	metrics.GetOrRegisterCounter("refusals."+string(code), m.registry).Inc(1)
+}
+
+func (m *meters) answered(a *model.Answer) {
+	m.answers.Inc(1)
+	if !a.Coverage.Complete() {
+		m.partial.Inc(1)
+	}
+	m.needed.Inc(int64(a.Needed))
+	m.sent.Inc(int64(a.Attempts))
+}
+
+func (m *meters) view(v *model.View) {
+	m.leases.Update(int64(len(v.Leases)))
+	m.revision.Update(int64(v.Config.Revision))
+	m.ready.Store(len(v.Config.Templates) > 0 && !v.Draining)
+}
+
+// handler serves the metrics as JSON, or with ?format=prometheus in the text format that
+// scrapers read.
+func (m *meters) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("format") == "prometheus" {
+			w.Header().Set("Content-Type", string(expfmt.NewFormat(expfmt.TypeTextPlain)))
+			m.writeText(w)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(m.registry, w)
+	})
+}
+
+func (m *meters) writeText(w http.ResponseWriter) {
+	var families []*dto.MetricFamily
+	m.registry.Each(func(name string, v any) {
+		if f := family(name, v); f != nil {
+			families = append(families, f)
+		}
+	})
+	sort.Slice(families, func(i, j int) bool { return families[i].GetName() < families[j].GetName() })
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(w, f); err != nil {
+			return
+		}
+	}
+}
+
+var notMetricName = regexp.MustCompile(`[^a-z0-9]+`)
+
+func metricName(name string) string {
+	return "gooseberrylock_" + strings.Trim(notMetricName.ReplaceAllString(strings.ToLower(name), "_"), "_")
+}
+
+// quantiles are those of timers in the text format.
+var quantiles = []float64{0.5, 0.99, 0.999}
+
+func family(name string, v any) *dto.MetricFamily {
+	n := metricName(name)
+	switch m := v.(type) {
+	case metrics.Counter:
+		n += "_total"
+		value := float64(m.Count())
+		return newFamily(n, dto.MetricType_COUNTER, &dto.Metric{Counter: &dto.Counter{Value: &value}})
+	case metrics.Gauge:
+		value := float64(m.Value())
+		return newFamily(n, dto.MetricType_GAUGE, &dto.Metric{Gauge: &dto.Gauge{Value: &value}})
+	case metrics.Timer:
+		return newFamily(n+"_seconds", dto.MetricType_SUMMARY, &dto.Metric{Summary: summary(m.Snapshot())})
+	}
+	return nil
+}
+
+func newFamily(name string, t dto.MetricType, m *dto.Metric) *dto.MetricFamily {
+	return &dto.MetricFamily{Name: &name, Type: &t, Metric: []*dto.Metric{m}}
+}
+
+func summary(t metrics.Timer) *dto.Summary {
+	count := uint64(t.Count())
+	sum := t.Mean() * float64(count) / float64(time.Second)
+	s := &dto.Summary{SampleCount: &count, SampleSum: &sum}
+	for i, p := range t.Percentiles(quantiles) {
+		q := quantiles[i]
+		seconds := p / float64(time.Second)
+		s.Quantile = append(s.Quantile, &dto.Quantile{Quantile: &q, Value: &seconds})
+	}
+	return s
+}
--- /dev/null
+++ b/operator.go
@@ -0,0 +1,270 @@
+package gooseberrylock
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/rotisserie/eris"
+
+	api "github.com/gooseberrylock/gooseberrylock/api/operator"
+	"github.com/gooseberrylock/gooseberrylock/core"
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/internal/strictjson"
+	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/template"
+)
+
+// operatorServer serves requests of operators, metrics and profiles.
+func (d *Daemon) operatorServer() *http.Server {
+	h, err := api.NewServer(&operatorHandler{d: d}, &tokenCheck{token: d.cfg.Settings.Operator.Token},
+		api.WithTracerProvider(d.tracing.provider))
+	if err != nil {
+		panic(err) // only a fault in the generated code can cause this
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", h)
+	mux.Handle("GET /metrics", d.guard(d.metrics.handler()))
+	mux.Handle("/debug/pprof/", d.guard(http.HandlerFunc(pprof.Index)))
+	mux.Handle("/debug/pprof/profile", d.guard(http.HandlerFunc(pprof.Profile)))
+	mux.Handle("/debug/pprof/trace", d.guard(http.HandlerFunc(pprof.Trace)))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+}
+
+// errUnauthorized is returned for a missing or wrong token.
+var errUnauthorized = errors.New("missing or wrong bearer token")
+
+// tokenCheck implements the generated security handler.
+type tokenCheck struct{ token string }
+
+// HandleToken implements api.SecurityHandler.
+func (t *tokenCheck) HandleToken(ctx context.Context, _ api.OperationName, given api.Token) (context.Context, error) {
+	if t.token != "" && subtle.ConstantTimeCompare([]byte(t.token), []byte(given.Token)) != 1 {
+		return ctx, errUnauthorized
+	}
+	return ctx, nil
+}
+
+// guard protects handlers that the generated code does not cover.
+func (d *Daemon) guard(next http.Handler) http.Handler {
+	want := "Bearer " + d.cfg.Settings.Operator.Token
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		open := d.cfg.Settings.Operator.Token == ""
+		if !open && subtle.ConstantTimeCompare([]byte(want), []byte(r.Header.Get("Authorization"))) != 1 {
+			http.Error(w, errUnauthorized.Error(), http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// operatorHandler implements the generated operator API.
+type operatorHandler struct{ d *Daemon }
+
+// inspect reads the control state.
+func (h *operatorHandler) inspect(ctx context.Context, step string, read func(*core.Control)) error {
+	return eris.Wrap(h.d.control.inspect(ctx, read), step)
+}
+
+func (h *operatorHandler) command(ctx context.Context, body event.Command) (*api.CommandResult, error) {
+	res, err := h.d.control.command(ctx, "operator", body)
+	if err != nil {
+		return nil, err
+	}
+	out := &api.CommandResult{Code: api.CommandResultCode(res.Code)}
+	if res.Message != "" {
+		out.Message = api.NewOptString(res.Message)
+	}
+	if res.Object != nil {
+		out.Version = api.NewOptInt64(int64(res.Object.Version))
+		if res.Code == effect.CommandConflict {
+			out.Current = api.NewOptString(objectText(res.Object))
+		}
+	}
+	return out, nil
+}
+
+// objectText shows the content of an object to an operator.
+func objectText(o *model.Object) string {
+	if o.Template != nil {
+		return o.Template.Text
+	}
+	var v any
+	switch {
+	case o.Zone != nil:
+		v = o.Zone
+	case o.Automation != nil:
+		v = o.Automation
+	case o.Move != nil:
+		v = o.Move
+	default:
+		return ""
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+// ApplyTemplate implements api.Handler.
+func (h *operatorHandler) ApplyTemplate(ctx context.Context, req *api.TemplateText, p api.ApplyTemplateParams) (*api.CommandResult, error) {
+	t, err := template.Parse(p.Customer, []byte(req.Text))
+	if err != nil {
+		return invalid(err.Error()), nil
+	}
+	if string(t.Customer) != p.Customer {
+		return invalid("the template is for customer " + string(t.Customer) + ", not " + p.Customer), nil
+	}
+	version, given := p.IfVersion.Get()
+	if !given {
+		obj, _, err := h.template(ctx, p.Customer)
+		if err != nil {
+			return nil, err
+		}
+		version = int64(obj.Version)
+	}
+	return h.command(ctx, event.ApplyTemplate{Template: *t, IfVersion: uint64(version)})
+}
+
+func invalid(message string) *api.CommandResult {
+	return &api.CommandResult{Code: api.CommandResultCode(effect.CommandInvalid), Message: api.NewOptString(message)}
+}
+
+func (h *operatorHandler) template(ctx context.Context, customer string) (model.Object, bool, error) {
+	var obj model.Object
+	var ok bool
+	err := h.inspect(ctx, "get template", func(c *core.Control) {
+		obj, ok = c.Object(model.ObjectKey{Kind: model.ObjectTemplate, Name: customer})
+	})
+	return obj, ok, err
+}
+
+// GetTemplate implements api.Handler.
+func (h *operatorHandler) GetTemplate(ctx context.Context, p api.GetTemplateParams) (*api.TemplateObject, error) {
+	obj, ok, err := h.template(ctx, p.Customer)
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, &notFoundError{what: "template of customer " + p.Customer}
+	}
+	return templateToAPI(&obj), nil
+}
+
+// notFoundError says that an object does not exist on this daemon.
+type notFoundError struct{ what string }
+
+// Error implements error.
+func (e *notFoundError) Error() string { return e.what + " does not exist" }
+
+func templateToAPI(o *model.Object) *api.TemplateObject {
+	return &api.TemplateObject{Customer: o.Key.Name, Version: int64(o.Version), Text: o.Template.Text}
+}
+
+// ListTemplates implements api.Handler.
+func (h *operatorHandler) ListTemplates(ctx context.Context) (*api.TemplateList, error) {
+	out := &api.TemplateList{Templates: []api.TemplateObject{}}
+	err := h.inspect(ctx, "list templates", func(c *core.Control) {
+		for _, o := range c.Objects(model.ObjectTemplate) {
+			out.Templates = append(out.Templates, *templateToAPI(&o))
+		}
+	})
+	return out, err
+}
+
+// SetZone implements api.Handler.
+func (h *operatorHandler) SetZone(ctx context.Context, req *api.ZoneChange, p api.SetZoneParams) (*api.CommandResult, error) {
+	return h.command(ctx, event.SetZone{
+		Zone:   model.AvailabilityZone(p.Zone),
+		Out:    req.Out,
+		Reason: req.Reason.Or(""),
+	})
+}
+
+// SetAutomation implements api.Handler.
+func (h *operatorHandler) SetAutomation(ctx context.Context, req *api.AutomationChange) (*api.CommandResult, error) {
+	cmd := event.SetPause{Paused: req.Paused, Reason: req.Reason.Or("")}
+	if until, ok := req.Until.Get(); ok {
+		cmd.Until = until
+	}
+	return h.command(ctx, cmd)
+}
+
+// StartMove implements api.Handler.
+func (h *operatorHandler) StartMove(ctx context.Context, req *api.MoveSpec, p api.StartMoveParams) (*api.CommandResult, error) {
+	m := model.Move{
+		Name:     p.Move,
+		Customer: model.CustomerID(req.Customer),
+		From:     model.VersionID(req.From),
+		To:       model.VersionID(req.To),
+		Deadline: req.Deadline,
+	}
+	for _, r := range req.Routes {
+		m.Routes = append(m.Routes, model.RouteID(r))
+	}
+	return h.command(ctx, event.StartMove{Move: m})
+}
+
+// TakeBackMove implements api.Handler.
+func (h *operatorHandler) TakeBackMove(ctx context.Context, p api.TakeBackMoveParams) (*api.CommandResult, error) {
+	return h.command(ctx, event.TakeBackMove{Name: p.Move, Reason: p.Reason.Or("")})
+}
+
+// ListMoves implements api.Handler.
+func (h *operatorHandler) ListMoves(ctx context.Context) (*api.MoveList, error) {
+	out := &api.MoveList{Moves: []api.MoveStatus{}}
+	err := h.inspect(ctx, "list moves", func(c *core.Control) {
+		for _, r := range c.Moves() {
+			out.Moves = append(out.Moves, moveToAPI(&r))
+		}
+	})
+	return out, err
+}
+
+// GetStatus implements api.Handler.
+func (h *operatorHandler) GetStatus(ctx context.Context) (*api.Status, error) {
+	var s core.Status
+	now := h.d.now()
+	if err := h.inspect(ctx, "get status", func(c *core.Control) { s = c.Status(now) }); err != nil {
+		return nil, err
+	}
+	return statusToAPI(&s), nil
+}
+
+// Leave implements api.Handler.
+func (h *operatorHandler) Leave(context.Context) error {
+	go func() {
+		if err := h.d.Shutdown(context.Background()); err != nil {
+			h.d.log.Error().Err(err).Str("step", "leave").Msg("shutdown failed")
+		}
+	}()
+	return nil
+}
+
+// NewError implements api.Handler.
+func (h *operatorHandler) NewError(_ context.Context, err error) *api.ErrorStatusCode {
+	status := http.StatusInternalServerError
+	var notFound *notFoundError
+	var fault *strictjson.Error
+	switch {
+	case errors.As(err, &notFound):
+		status = http.StatusNotFound
+	case errors.As(err, &fault):
+		status = http.StatusBadRequest
+	case errors.Is(err, errUnauthorized):
+		status = http.StatusUnauthorized
+	}
+	return &api.ErrorStatusCode{
+		StatusCode: status,
+		Response: api.Error{
+			Step:   "operator request",
+			Peer:   api.NewOptString(string(h.d.cfg.Settings.VM)),
+			Reason: err.Error(),
+		},
+	}
+}
--- /dev/null
+++ b/peers.go
@@ -0,0 +1,55 @@
+package gooseberrylock
+
+import (
+	"context"
+
+	"github.com/gooseberrylock/gooseberrylock/core"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// peerHandler receives what other daemons send; it implements peer.Handler.
+type peerHandler Daemon
+
+func (h *peerHandler) daemon() *Daemon { return (*Daemon)(h) }
+
+// Heartbeat implements peer.Handler.
+func (h *peerHandler) Heartbeat(hb event.Heartbeat) {
+	h.control.put(event.HeartbeatReceived{Heartbeat: hb})
+}
+
+// Release implements peer.Handler.
+func (h *peerHandler) Release(r event.Release) { h.control.put(event.ReleaseReceived{Release: r}) }
+
+// SubRequests implements peer.Handler.
+func (h *peerHandler) SubRequests(_ model.VM, r []model.SubRequest) { h.daemon().receiveRequests(r) }
+
+// SubReplies implements peer.Handler.
+func (h *peerHandler) SubReplies(from model.VM, r []model.SubReply) {
+	h.daemon().receiveReplies(from, r)
+}
+
+// Cancels implements peer.Handler.
+func (h *peerHandler) Cancels(from model.VM, c []event.Cancel) { h.daemon().receiveCancels(from, c) }
+
+// PeerLost implements peer.Handler.
+func (h *peerHandler) PeerLost(vm model.VM) {
+	h.log.Warn().Str("step", "exchange traffic").Str("peer", string(vm)).Msg("connection lost")
+	for _, w := range h.workers {
+		w.put(event.PeerLost{VM: vm})
+	}
+}
+
+// SendFailed implements peer.Handler.
+func (h *peerHandler) SendFailed(to model.VM, list []model.SubRequest) {
+	split(list, func(r *model.SubRequest) *worker { return h.daemon().workerOfQuery(r.Query) },
+		func(w *worker, part []model.SubRequest) { w.put(event.SendFailed{To: to, Requests: part}) })
+}
+
+// Objects implements peer.Handler.
+func (h *peerHandler) Objects(ctx context.Context, since uint64) ([]model.Object, uint64, error) {
+	var objects []model.Object
+	var revision uint64
+	err := h.control.inspect(ctx, func(c *core.Control) { objects, revision = c.Newer(since) })
+	return objects, revision, err
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,249 @@
+// Package settings reads the settings of a daemon: JSON with comments, checked
+// strictly, with units on every duration.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core"
+	"github.com/gooseberrylock/gooseberrylock/internal/strictjson"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	VM        model.VM               `json:"vm"`        // name of the VM, unique in the deployment
+	Group     string                 `json:"group"`     // ownership group, at most 9 VMs of one region
+	Zone      model.AvailabilityZone `json:"zone"`      // availability zone of the VM
+	Addresses Addresses              `json:"addresses"` // where the daemon listens
+	Store     Store                  `json:"store"`
+	Timing    Timing                 `json:"timing"`
+	Traffic   Traffic                `json:"traffic"`
+	Operator  Operator               `json:"operator"`
+	TLS       TLS                    `json:"tls"`
+	Traces    Traces                 `json:"traces"`
+	Log       Log                    `json:"log"`
+}
+
+// Addresses are IP numbers with ports.
+type Addresses struct {
+	Caller   string `json:"caller"`   // requests of callers, health and readiness
+	Peer     string `json:"peer"`     // messages between daemons; the others must reach it
+	Operator string `json:"operator"` // requests of operators, metrics and profiles
+}
+
+// Store says how to reach the platform's object API.
+type Store struct {
+	URL     string              `json:"url"`     // http or https URL with an IP number
+	Timeout strictjson.Duration `json:"timeout"` // of one call except a waiting watch; default 2s
+}
+
+// Timing holds the periods of the control state; see docs/design.md 4.2.
+type Timing struct {
+	Heartbeat strictjson.Duration `json:"heartbeat"` // default 100ms
+	Fence     strictjson.Duration `json:"fence"`     // default 500ms
+	Grace     strictjson.Duration `json:"grace"`     // default 1.2s
+}
+
+// Traffic bounds the requests that the daemon takes.
+type Traffic struct {
+	Workers    int                 `json:"workers"`    // traffic goroutines; default 4
+	MaxQueries int                 `json:"maxQueries"` // running requests of callers; default 2000
+	DrainDelay strictjson.Duration `json:"drainDelay"` // after the start of a leave, new requests are still taken this long; default 2s
+}
+
+// Operator guards the operator address.
+type Operator struct {
+	Token string `json:"token"` // bearer token; needed unless the address is on loopback
+}
+
+// TLS names PEM files. With CA set, callers, operators and daemons must present a certificate
+// that it signed.
+type TLS struct {
+	Cert string `json:"cert"`
+	Key  string `json:"key"`
+	CA   string `json:"ca"`
+}
+
+// Traces says where spans go.
+type Traces struct {
+	Endpoint string  `json:"endpoint"` // OTLP over HTTP, host:port; "" for none
+	Ratio    float64 `json:"ratio"`    // share of requests that are traced, 0 to 1; default 0.01
+}
+
+// Log configures logging.
+type Log struct {
+	Level string `json:"level"` // debug, info, warn or error; default info
+}
+
+// Defaults.
+const (
+	defaultStoreTimeout = 2 * time.Second
+	defaultWorkers      = 4
+	defaultMaxQueries   = 2000
+	defaultDrainDelay   = 2 * time.Second
+	defaultTraceRatio   = 0.01
+	maxWorkers          = 256
+)
+
+var validName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(file, text)
+}
+
+// Parse checks settings in JSON with comments. file is used in errors only; an error names
+// the line and the field.
+func Parse(file string, text []byte) (*Settings, error) {
+	s := &Settings{}
+	s.Traces.Ratio = defaultTraceRatio
+	doc, err := strictjson.Decode(file, text, s)
+	if err != nil {
+		return nil, err
+	}
+	s.setDefaults()
+	if err := s.validate(doc); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) setDefaults() {
+	setDuration(&s.Store.Timeout, defaultStoreTimeout)
+	setDuration(&s.Timing.Heartbeat, core.DefaultHeartbeatInterval)
+	setDuration(&s.Timing.Fence, core.DefaultFence)
+	setDuration(&s.Timing.Grace, core.DefaultGrace)
+	setDuration(&s.Traffic.DrainDelay, defaultDrainDelay)
+	if s.Traffic.Workers == 0 {
+		s.Traffic.Workers = defaultWorkers
+	}
+	if s.Traffic.MaxQueries == 0 {
+		s.Traffic.MaxQueries = defaultMaxQueries
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+}
+
+func setDuration(d *strictjson.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = strictjson.Duration(v)
+	}
+}
+
+func (s *Settings) validate(doc *strictjson.Document) error {
+	names := []struct{ field, value string }{
+		{"vm", string(s.VM)}, {"group", s.Group}, {"zone", string(s.Zone)},
+	}
+	for _, n := range names {
+		if !validName.MatchString(n.value) {
+			return doc.Fault(fmt.Sprintf("%q is not a name: lower-case letters, digits, '.', '_' and '-', at most 63", n.value), n.field)
+		}
+	}
+	checks := []func(*strictjson.Document) error{
+		s.validateAddresses, s.validateStore, s.validateTiming, s.validateTraffic, s.validateSecurity, s.validateOutput,
+	}
+	for _, check := range checks {
+		if err := check(doc); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) validateAddresses(doc *strictjson.Document) error {
+	list := []struct{ field, value string }{
+		{"caller", s.Addresses.Caller}, {"peer", s.Addresses.Peer}, {"operator", s.Addresses.Operator},
+	}
+	seen := make(map[netip.AddrPort]string)
+	for _, a := range list {
+		addr, err := netip.ParseAddrPort(a.value)
+		if err != nil {
+			return doc.Fault(fmt.Sprintf("%q is not an IP number and port", a.value), "addresses", a.field)
+		}
+		if other, ok := seen[addr]; ok && addr.Port() != 0 {
+			return doc.Fault(fmt.Sprintf("%s is also the address for %s", addr, other), "addresses", a.field)
+		}
+		seen[addr] = a.field
+	}
+	peer := netip.MustParseAddrPort(s.Addresses.Peer)
+	if peer.Addr().IsUnspecified() {
+		return doc.Fault("must be an IP number that the other daemons can reach", "addresses", "peer")
+	}
+	return nil
+}
+
+func (s *Settings) validateStore(doc *strictjson.Document) error {
+	u, err := url.Parse(s.Store.URL)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return doc.Fault(fmt.Sprintf("%q is not an http or https URL", s.Store.URL), "store", "url")
+	}
+	if t := time.Duration(s.Store.Timeout); t < 10*time.Millisecond || t > time.Minute {
+		return doc.Fault("must be from 10ms to 1m", "store", "timeout")
+	}
+	return nil
+}
+
+func (s *Settings) validateTiming(doc *strictjson.Document) error {
+	heartbeat, fence, grace := time.Duration(s.Timing.Heartbeat), time.Duration(s.Timing.Fence), time.Duration(s.Timing.Grace)
+	if heartbeat < 10*time.Millisecond || heartbeat > 5*time.Second {
+		return doc.Fault("must be from 10ms to 5s", "timing", "heartbeat")
+	}
+	if fence < 3*heartbeat {
+		return doc.Fault(fmt.Sprintf("must be at least three heartbeats (%v), or one lost heartbeat ends a lease", 3*heartbeat), "timing", "fence")
+	}
+	// A tenth of grace is left for clock drift between VMs.
+	if least := 2*fence + grace/10; grace < least {
+		return doc.Fault(fmt.Sprintf("must be at least twice the fence plus a tenth for clock drift (%v)", least), "timing", "grace")
+	}
+	return nil
+}
+
+func (s *Settings) validateTraffic(doc *strictjson.Document) error {
+	if s.Traffic.Workers < 1 || s.Traffic.Workers > maxWorkers {
+		return doc.Fault(fmt.Sprintf("must be from 1 to %d", maxWorkers), "traffic", "workers")
+	}
+	if s.Traffic.MaxQueries < 1 {
+		return doc.Fault("must be at least 1", "traffic", "maxQueries")
+	}
+	if d := time.Duration(s.Traffic.DrainDelay); d < 0 || d > time.Minute {
+		return doc.Fault("must be from 0s to 1m", "traffic", "drainDelay")
+	}
+	return nil
+}
+
+func (s *Settings) validateSecurity(doc *strictjson.Document) error {
+	if (s.TLS.Cert == "") != (s.TLS.Key == "") {
+		return doc.Fault("cert and key go together", "tls")
+	}
+	if s.TLS.CA != "" && s.TLS.Cert == "" {
+		return doc.Fault("ca needs cert and key", "tls", "ca")
+	}
+	loopback := netip.MustParseAddrPort(s.Addresses.Operator).Addr().IsLoopback()
+	if !loopback && s.Operator.Token == "" && s.TLS.CA == "" {
+		return doc.Fault("an operator address off loopback needs operator.token or tls.ca", "addresses", "operator")
+	}
+	return nil
+}
+
+func (s *Settings) validateOutput(doc *strictjson.Document) error {
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		return doc.Fault(fmt.Sprintf("%q is not debug, info, warn or error", s.Log.Level), "log", "level")
+	}
+	if s.Traces.Ratio < 0 || s.Traces.Ratio > 1 {
+		return doc.Fault("must be from 0 to 1", "traces", "ratio")
+	}
+	return nil
+}
--- /dev/null
+++ b/store/codec.go
@@ -0,0 +1,100 @@
+package store
+
+import (
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/template"
+)
+
+// ErrUnknownKind is returned for an object of a kind that this version does not know.
+var ErrUnknownKind = eris.New("unknown kind of object")
+
+// record is the data of an object as it is kept in the store.
+type record struct {
+	Write model.WriteID  `json:"write"`
+	Base  uint64         `json:"base"`
+	Value jsontext.Value `json:"value"` // a template is the text that the operator applied
+}
+
+// Encode returns the data of an object as JSON.
+func Encode(o model.Object) ([]byte, error) {
+	if o.Deleted {
+		return nil, nil
+	}
+	value, err := encodeValue(&o)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(record{Write: o.Write, Base: o.Base, Value: value}, json.Deterministic(true))
+	return data, eris.Wrapf(err, "encode object %s", o.Key)
+}
+
+func encodeValue(o *model.Object) (jsontext.Value, error) {
+	var v any
+	switch o.Key.Kind {
+	case model.ObjectTemplate:
+		v = o.Template.Text
+	case model.ObjectZone:
+		v = o.Zone
+	case model.ObjectAutomation:
+		v = o.Automation
+	case model.ObjectMove:
+		v = o.Move
+	case model.ObjectRoster:
+		v = o.Roster
+	default:
+		return nil, eris.Wrapf(ErrUnknownKind, "object %s", o.Key)
+	}
+	data, err := json.Marshal(v, json.Deterministic(true))
+	return data, eris.Wrapf(err, "encode object %s", o.Key)
+}
+
+// Decode is the inverse of Encode. It fails with ErrUnknownKind for kinds that this
+// version does not know.
+func Decode(key model.ObjectKey, version uint64, deleted bool, data []byte) (model.Object, error) {
+	o := model.Object{Key: key, Version: version, Deleted: deleted}
+	if deleted {
+		return o, nil
+	}
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return o, eris.Wrapf(err, "decode object %s", key)
+	}
+	o.Write = r.Write
+	o.Base = r.Base
+	return o, eris.Wrapf(decodeValue(&o, r.Value), "decode object %s", key)
+}
+
+func decodeValue(o *model.Object, data jsontext.Value) error {
+	switch o.Key.Kind {
+	case model.ObjectTemplate:
+		var text string
+		if err := json.Unmarshal(data, &text); err != nil {
+			return err
+		}
+		t, err := template.Parse(o.Key.String(), []byte(text))
+		o.Template = t
+		return err
+	case model.ObjectZone:
+		return unmarshal(data, &o.Zone)
+	case model.ObjectAutomation:
+		return unmarshal(data, &o.Automation)
+	case model.ObjectMove:
+		return unmarshal(data, &o.Move)
+	case model.ObjectRoster:
+		return unmarshal(data, &o.Roster)
+	}
+	return ErrUnknownKind
+}
+
+func unmarshal[T any](data []byte, into **T) error {
+	v := new(T)
+	if err := json.Unmarshal(data, v); err != nil {
+		return err
+	}
+	*into = v
+	return nil
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,159 @@
+// Package store reads and writes the objects that the platform's object API keeps for
+// the system. Store is the narrow interface; HTTP is its adapter.
+package store
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	api "github.com/gooseberrylock/gooseberrylock/api/store"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// Store is the part of the platform's object API that the daemons use.
+type Store interface {
+	// Get returns an object. The second result is false if it does not exist.
+	Get(ctx context.Context, key model.ObjectKey) (model.Object, bool, error)
+	// Put writes an object if its version is ifVersion; 0 means that it must not exist. The
+	// outcome tells whether anything was written.
+	Put(ctx context.Context, obj model.Object, ifVersion uint64) PutResult
+	// List returns the objects that changed after a revision, in the order of their versions,
+	// and the revision up to which the list is complete. It waits up to wait for a change.
+	List(ctx context.Context, since uint64, wait time.Duration) ([]model.Object, uint64, error)
+	// VMs returns the platform's lagging list of VMs.
+	VMs(ctx context.Context) ([]event.ListedVM, error)
+}
+
+// PutResult is the outcome of Put. Object is the object as stored now, for event.WriteOK
+// and event.WriteConflict.
+type PutResult struct {
+	Outcome event.WriteOutcome
+	Object  model.Object
+	Err     error
+}
+
+// HTTP is the adapter for the platform's HTTP interface.
+type HTTP struct {
+	client *api.Client
+	url    string
+}
+
+// NewHTTP returns an adapter. client carries timeouts and TLS.
+func NewHTTP(url string, client *http.Client) (*HTTP, error) {
+	c, err := api.NewClient(url, api.WithClient(client))
+	if err != nil {
+		return nil, eris.Wrapf(err, "store at %s", url)
+	}
+	return &HTTP{client: c, url: url}, nil
+}
+
+// Get implements Store.
+func (h *HTTP) Get(ctx context.Context, key model.ObjectKey) (model.Object, bool, error) {
+	res, err := h.client.GetObject(ctx, api.GetObjectParams{Kind: string(key.Kind), Name: key.Name})
+	if err != nil {
+		return model.Object{}, false, h.wrap(err, "get "+key.String())
+	}
+	obj, ok := res.(*api.Object)
+	if !ok {
+		return model.Object{Key: key}, false, nil
+	}
+	m, err := fromAPI(obj)
+	return m, err == nil, err
+}
+
+// Put implements Store.
+func (h *HTTP) Put(ctx context.Context, obj model.Object, ifVersion uint64) PutResult {
+	data, err := Encode(obj)
+	if err != nil {
+		return PutResult{Outcome: event.WriteFailed, Err: err}
+	}
+	res, err := h.client.PutObject(ctx, &api.Value{Data: string(data)}, api.PutObjectParams{
+		Kind:      string(obj.Key.Kind),
+		Name:      obj.Key.Name,
+		IfVersion: int64(ifVersion),
+	})
+	if err != nil {
+		return PutResult{Outcome: putFailure(err), Err: h.wrap(err, "put "+obj.Key.String())}
+	}
+	switch r := res.(type) {
+	case *api.Object:
+		m, err := fromAPI(r)
+		return PutResult{Outcome: event.WriteOK, Object: m, Err: err}
+	case *api.Conflict:
+		m := model.Object{Key: obj.Key}
+		if cur, ok := r.Current.Get(); ok {
+			m, err = fromAPI(&cur)
+		}
+		return PutResult{Outcome: event.WriteConflict, Object: m, Err: err}
+	}
+	return PutResult{Outcome: event.WriteUnknown, Err: eris.Errorf("store at %s: unexpected response %T", h.url, res)}
+}
+
+// putFailure tells a write that never reached the store from one whose answer was lost.
+func putFailure(err error) event.WriteOutcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return event.WriteFailed
+	}
+	var status *api.ErrorStatusCode
+	if errors.As(err, &status) && status.StatusCode < 500 {
+		return event.WriteFailed
+	}
+	return event.WriteUnknown
+}
+
+// List implements Store.
+func (h *HTTP) List(ctx context.Context, since uint64, wait time.Duration) ([]model.Object, uint64, error) {
+	res, err := h.client.ListObjects(ctx, api.ListObjectsParams{
+		Since:  int64(since),
+		WaitMs: api.NewOptInt64(wait.Milliseconds()),
+	})
+	if err != nil {
+		return nil, 0, h.wrap(err, "list objects")
+	}
+	objects := make([]model.Object, 0, len(res.Objects))
+	for i := range res.Objects {
+		m, err := fromAPI(&res.Objects[i])
+		if errors.Is(err, ErrUnknownKind) {
+			continue
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		objects = append(objects, m)
+	}
+	return objects, uint64(res.Revision), nil
+}
+
+// VMs implements Store.
+func (h *HTTP) VMs(ctx context.Context) ([]event.ListedVM, error) {
+	res, err := h.client.ListVMs(ctx)
+	if err != nil {
+		return nil, h.wrap(err, "list VMs")
+	}
+	vms := make([]event.ListedVM, 0, len(res.Vms))
+	for _, v := range res.Vms {
+		vms = append(vms, event.ListedVM{
+			VM:      model.VM(v.Name),
+			Zone:    model.AvailabilityZone(v.Zone),
+			Address: v.Address,
+			Leaving: v.Leaving,
+		})
+	}
+	return vms, nil
+}
+
+func (h *HTTP) wrap(err error, step string) error {
+	return eris.Wrapf(err, "store at %s: %s", h.url, step)
+}
+
+func fromAPI(o *api.Object) (model.Object, error) {
+	key := model.ObjectKey{Kind: model.ObjectKind(o.Kind), Name: o.Name}
+	return Decode(key, uint64(o.Version), o.Deleted.Or(false), []byte(o.Data))
+}
--- /dev/null
+++ b/template/template.go
@@ -0,0 +1,333 @@
+// Package template parses and validates the templates that operators apply, and
+// compiles them to the model.
+package template
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/internal/strictjson"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// Defaults of optional fields.
+const (
+	DefaultHedgePercentile = 0.95
+	DefaultHedgeBudget     = 0.03
+	DefaultColdSlots       = 1
+	DefaultClass           = "default"
+)
+
+// maxSize is the largest value that the platform's store holds, in bytes.
+const maxSize = 1 << 20
+
+// Bounds of durations.
+const (
+	minTimeout = time.Millisecond
+	maxTimeout = 10 * time.Minute
+)
+
+var validName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+type document struct {
+	Customer string   `json:"customer"`
+	Zones    []string `json:"zones"`
+	Routes   []route  `json:"routes"`
+}
+
+type route struct {
+	Route          string              `json:"route"`
+	Timeout        strictjson.Duration `json:"timeout"`
+	AttemptTimeout strictjson.Duration `json:"attemptTimeout"`
+	CoverageFloor  float64             `json:"coverageFloor"`
+	Classes        []string            `json:"classes"`
+	DefaultClass   string              `json:"defaultClass"`
+	Hedge          *hedge              `json:"hedge"`
+	StableVersion  string              `json:"stableVersion"`
+	Versions       []version           `json:"versions"`
+}
+
+type hedge struct {
+	Percentile float64 `json:"percentile"`
+	Budget     float64 `json:"budget"`
+}
+
+type version struct {
+	Version string  `json:"version"`
+	Epoch   uint64  `json:"epoch"`
+	Limits  limits  `json:"limits"`
+	Shards  []shard `json:"shards"`
+}
+
+type limits struct {
+	Slots       int                 `json:"slots"`
+	Connections int                 `json:"connections"`
+	ConnectCost strictjson.Duration `json:"connectCost"`
+	ColdSlots   int                 `json:"coldSlots"`
+}
+
+type shard struct {
+	Shard          string          `json:"shard"`
+	BackendServers []backendServer `json:"backendServers"`
+}
+
+type backendServer struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Parse reads a template in JSON with comments. file is used in errors only; an error
+// names the line and the field.
+func Parse(file string, text []byte) (*model.Template, error) {
+	if len(text) > maxSize {
+		return nil, &strictjson.Error{File: file, Reason: fmt.Sprintf("%d bytes, more than the %d that the store holds", len(text), maxSize)}
+	}
+	var doc document
+	d, err := strictjson.Decode(file, text, &doc)
+	if err != nil {
+		return nil, err
+	}
+	c := &compiler{doc: d, servers: make(map[string]string)}
+	t, err := c.template(&doc)
+	if err != nil {
+		return nil, err
+	}
+	t.Text = string(text)
+	return t, nil
+}
+
+// compiler validates a document while it builds the model.
+type compiler struct {
+	doc     *strictjson.Document
+	zones   []string
+	servers map[string]string // address by backend server ID
+}
+
+func (c *compiler) name(value string, path ...any) error {
+	if !validName.MatchString(value) {
+		return c.doc.Fault(fmt.Sprintf("%q is not a name: lower-case letters, digits, '.', '_' and '-', at most 63", value), path...)
+	}
+	return nil
+}
+
+func (c *compiler) template(doc *document) (*model.Template, error) {
+	if err := c.name(doc.Customer, "customer"); err != nil {
+		return nil, err
+	}
+	if len(doc.Zones) == 0 {
+		return nil, c.doc.Fault("at least one availability zone is needed", "zones")
+	}
+	t := &model.Template{Customer: model.CustomerID(doc.Customer)}
+	for i, z := range doc.Zones {
+		if err := c.name(z, "zones", i); err != nil {
+			return nil, err
+		}
+		if slices.Contains(doc.Zones[:i], z) {
+			return nil, c.doc.Fault(fmt.Sprintf("zone %q is listed twice", z), "zones", i)
+		}
+		t.AllowedZones = append(t.AllowedZones, model.AvailabilityZone(z))
+	}
+	c.zones = doc.Zones
+	if len(doc.Routes) == 0 {
+		return nil, c.doc.Fault("at least one route is needed", "routes")
+	}
+	for i := range doc.Routes {
+		r, err := c.route(&doc.Routes[i], i)
+		if err != nil {
+			return nil, err
+		}
+		t.Routes = append(t.Routes, *r)
+	}
+	slices.SortFunc(t.Routes, func(a, b model.RouteConfig) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for i := 1; i < len(t.Routes); i++ {
+		if t.Routes[i].ID == t.Routes[i-1].ID {
+			return nil, c.doc.Fault(fmt.Sprintf("route %q is defined twice", t.Routes[i].ID), "routes")
+		}
+	}
+	return t, nil
+}
+
+func (c *compiler) route(r *route, i int) (*model.RouteConfig, error) {
+	if err := c.name(r.Route, "routes", i, "route"); err != nil {
+		return nil, err
+	}
+	out := &model.RouteConfig{
+		ID:              model.RouteID(r.Route),
+		Timeout:         time.Duration(r.Timeout),
+		AttemptTimeout:  time.Duration(r.AttemptTimeout),
+		CoverageFloor:   r.CoverageFloor,
+		Classes:         r.Classes,
+		DefaultClass:    r.DefaultClass,
+		StableVersion:   model.VersionID(r.StableVersion),
+		HedgePercentile: DefaultHedgePercentile,
+		HedgeBudget:     DefaultHedgeBudget,
+	}
+	if r.Hedge != nil {
+		out.HedgePercentile = r.Hedge.Percentile
+		out.HedgeBudget = r.Hedge.Budget
+	}
+	if err := c.routeBounds(out, i); err != nil {
+		return nil, err
+	}
+	if err := c.classes(out, i); err != nil {
+		return nil, err
+	}
+	for j := range r.Versions {
+		v, err := c.version(&r.Versions[j], i, j)
+		if err != nil {
+			return nil, err
+		}
+		if _, ok := out.Version(v.ID); ok {
+			return nil, c.doc.Fault(fmt.Sprintf("version %q is defined twice", v.ID), "routes", i, "versions", j, "version")
+		}
+		out.Versions = append(out.Versions, *v)
+	}
+	if _, ok := out.Version(out.StableVersion); !ok {
+		return nil, c.doc.Fault(fmt.Sprintf("%q is not one of the route's versions", r.StableVersion), "routes", i, "stableVersion")
+	}
+	return out, nil
+}
+
+func (c *compiler) routeBounds(r *model.RouteConfig, i int) error {
+	if r.Timeout < minTimeout || r.Timeout > maxTimeout {
+		return c.doc.Fault(fmt.Sprintf("must be from %v to %v", minTimeout, maxTimeout), "routes", i, "timeout")
+	}
+	if r.AttemptTimeout < minTimeout || r.AttemptTimeout > r.Timeout {
+		return c.doc.Fault(fmt.Sprintf("must be from %v to the route's timeout of %v", minTimeout, r.Timeout), "routes", i, "attemptTimeout")
+	}
+	if r.CoverageFloor < 0 || r.CoverageFloor > 1 {
+		return c.doc.Fault("must be from 0 to 1", "routes", i, "coverageFloor")
+	}
+	if r.HedgePercentile <= 0 || r.HedgePercentile >= 1 {
+		return c.doc.Fault("must be above 0 and below 1", "routes", i, "hedge", "percentile")
+	}
+	if r.HedgeBudget < 0 || r.HedgeBudget > 0.5 {
+		return c.doc.Fault("must be from 0 to 0.5", "routes", i, "hedge", "budget")
+	}
+	return nil
+}
+
+func (c *compiler) classes(r *model.RouteConfig, i int) error {
+	if len(r.Classes) == 0 {
+		r.Classes = []string{DefaultClass}
+	}
+	for j, class := range r.Classes {
+		if err := c.name(class, "routes", i, "classes", j); err != nil {
+			return err
+		}
+		if slices.Contains(r.Classes[:j], class) {
+			return c.doc.Fault(fmt.Sprintf("class %q is listed twice", class), "routes", i, "classes", j)
+		}
+	}
+	if r.DefaultClass == "" {
+		r.DefaultClass = r.Classes[0]
+	}
+	if !slices.Contains(r.Classes, r.DefaultClass) {
+		return c.doc.Fault(fmt.Sprintf("%q is not one of the route's classes", r.DefaultClass), "routes", i, "defaultClass")
+	}
+	return nil
+}
+
+func (c *compiler) version(v *version, i, j int) (*model.VersionConfig, error) {
+	if err := c.name(v.Version, "routes", i, "versions", j, "version"); err != nil {
+		return nil, err
+	}
+	if v.Epoch == 0 {
+		return nil, c.doc.Fault("must be positive; raise it with every change of shards or backend servers", "routes", i, "versions", j, "epoch")
+	}
+	l, err := c.limits(&v.Limits, i, j)
+	if err != nil {
+		return nil, err
+	}
+	out := &model.VersionConfig{ID: model.VersionID(v.Version), Epoch: v.Epoch, Limits: l}
+	if len(v.Shards) == 0 {
+		return nil, c.doc.Fault("at least one shard is needed", "routes", i, "versions", j, "shards")
+	}
+	for k := range v.Shards {
+		s, err := c.shard(&v.Shards[k], i, j, k)
+		if err != nil {
+			return nil, err
+		}
+		out.Shards = append(out.Shards, s)
+	}
+	slices.SortFunc(out.Shards, func(a, b model.ShardConfig) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for k := 1; k < len(out.Shards); k++ {
+		if out.Shards[k].ID == out.Shards[k-1].ID {
+			return nil, c.doc.Fault(fmt.Sprintf("shard %q is defined twice", out.Shards[k].ID), "routes", i, "versions", j, "shards")
+		}
+	}
+	return out, nil
+}
+
+func (c *compiler) limits(l *limits, i, j int) (model.Limits, error) {
+	out := model.Limits{
+		Slots:       l.Slots,
+		Connections: l.Connections,
+		ConnectCost: time.Duration(l.ConnectCost),
+		ColdSlots:   l.ColdSlots,
+	}
+	if out.ColdSlots == 0 {
+		out.ColdSlots = DefaultColdSlots
+	}
+	if out.Slots < 1 {
+		return out, c.doc.Fault("must be at least 1", "routes", i, "versions", j, "limits", "slots")
+	}
+	if out.Connections < out.Slots {
+		return out, c.doc.Fault(fmt.Sprintf("must be at least the %d slots, since each attempt needs a connection", out.Slots), "routes", i, "versions", j, "limits", "connections")
+	}
+	if out.ColdSlots < 0 || out.ColdSlots > out.Slots {
+		return out, c.doc.Fault(fmt.Sprintf("must be from 1 to the %d slots", out.Slots), "routes", i, "versions", j, "limits", "coldSlots")
+	}
+	if out.ConnectCost < 0 || out.ConnectCost > time.Second {
+		return out, c.doc.Fault("must be from 0s to 1s", "routes", i, "versions", j, "limits", "connectCost")
+	}
+	return out, nil
+}
+
+func (c *compiler) shard(s *shard, i, j, k int) (model.ShardConfig, error) {
+	at := []any{"routes", i, "versions", j, "shards", k}
+	out := model.ShardConfig{ID: model.ShardID(s.Shard)}
+	if err := c.name(s.Shard, append(at, "shard")...); err != nil {
+		return out, err
+	}
+	if len(s.BackendServers) == 0 {
+		return out, c.doc.Fault("at least one backend server is needed", append(at, "backendServers")...)
+	}
+	for n := range s.BackendServers {
+		b, err := c.backendServer(&s.BackendServers[n], append(at, "backendServers", n))
+		if err != nil {
+			return out, err
+		}
+		out.Replicas = append(out.Replicas, b)
+	}
+	return out, nil
+}
+
+func (c *compiler) backendServer(b *backendServer, at []any) (model.BackendServer, error) {
+	out := model.BackendServer{
+		ID:      model.BackendServerID(b.ID),
+		Zone:    model.AvailabilityZone(b.Zone),
+		Address: b.Address,
+		Leaving: b.Leaving,
+	}
+	if err := c.name(b.ID, append(at, "id")...); err != nil {
+		return out, err
+	}
+	if _, ok := c.servers[b.ID]; ok {
+		return out, c.doc.Fault(fmt.Sprintf("backend server %q serves two shards; its limits would be counted twice", b.ID), append(at, "id")...)
+	}
+	c.servers[b.ID] = b.Address
+	if !slices.Contains(c.zones, b.Zone) {
+		return out, c.doc.Fault(fmt.Sprintf("%q is not one of the customer's zones", b.Zone), append(at, "zone")...)
+	}
+	if _, err := netip.ParseAddrPort(b.Address); err != nil {
+		return out, c.doc.Fault(fmt.Sprintf("%q is not an IP number and port", b.Address), append(at, "address")...)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/tlsconfig.go
@@ -0,0 +1,39 @@
+package gooseberrylock
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gooseberrylock/gooseberrylock/settings"
+)
+
+// loadTLS returns nil if no certificate is set. With a CA both ends must present a
+// certificate that it signed.
+func loadTLS(s settings.TLS) (*tls.Config, error) {
+	if s.Cert == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.Cert, s.Key)
+	if err != nil {
+		return nil, eris.Wrapf(err, "load certificate %s", s.Cert)
+	}
+	cfg := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+	if s.CA == "" {
+		return cfg, nil
+	}
+	pem, err := os.ReadFile(s.CA)
+	if err != nil {
+		return nil, eris.Wrapf(err, "load CA %s", s.CA)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("CA file %s holds no certificate in PEM format", s.CA)
+	}
+	cfg.RootCAs = pool
+	cfg.ClientCAs = pool
+	cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	return cfg, nil
+}
