--- /dev/null
+++ b/internal/vtime/scheduler.go
@@ -0,0 +1,74 @@
+// Package vtime runs the reducers of several daemons on virtual time: a seeded
+// scheduler, and small fakes of the object store, the backend servers and the links between
+// daemons. The same seed gives the same run.
+package vtime
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// Scheduler runs functions in the order of their virtual times.
+type Scheduler struct {
+	Rand  *rand.Rand
+	now   time.Duration
+	seq   uint64
+	queue taskHeap
+}
+
+type task struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+type taskHeap []task
+
+func (h taskHeap) Len() int { return len(h) }
+func (h taskHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+func (h taskHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *taskHeap) Push(x any) { *h = append(*h, x.(task)) }
+
+// Pop implements heap.Interface.
+func (h *taskHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = task{}
+	*h = old[:len(old)-1]
+	return t
+}
+
+// NewScheduler returns a scheduler at time 0.
+func NewScheduler(seed uint64) *Scheduler {
+	return &Scheduler{Rand: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Now returns the virtual time since the start.
+func (s *Scheduler) Now() time.Duration { return s.now }
+
+// At runs f at a virtual time, or now if that has passed.
+func (s *Scheduler) At(at time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.queue, task{at: max(at, s.now), seq: s.seq, run: f})
+}
+
+// After runs f after d.
+func (s *Scheduler) After(d time.Duration, f func()) { s.At(s.now+d, f) }
+
+// RunUntil runs everything that is due up to a virtual time.
+func (s *Scheduler) RunUntil(end time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		t := heap.Pop(&s.queue).(task)
+		s.now = t.at
+		t.run()
+	}
+	s.now = max(s.now, end)
+}
