--- /dev/null
+++ b/core/invariants.go
@@ -0,0 +1,26 @@
+package core
+
+import (
+	"fmt"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// Check reports the first invariant of a state that does not hold at now.
+func Check(s *State, now model.Time) error {
+	if s.Control != nil {
+		if err := s.Control.check(now); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+	}
+	if s.Traffic != nil {
+		if err := s.Traffic.check(now); err != nil {
+			return fmt.Errorf("traffic: %w", err)
+		}
+	}
+	return nil
+}
+
+func (c *Control) check(now model.Time) error { return nil }
+
+func (t *Traffic) check(now model.Time) error { return nil }
--- a/model/id.go
+++ b/model/id.go
@@ -4,6 +4,7 @@
 package model
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -76,6 +77,33 @@
 	return k.Route.String() + "/" + string(k.Version) + "/" + string(k.Shard)
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (r Route) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *Route) UnmarshalText(text []byte) error {
+	parts := strings.Split(string(text), "/")
+	if len(parts) != 2 {
+		return fmt.Errorf("%q is not customer/route", text)
+	}
+	r.Customer, r.Route = CustomerID(parts[0]), RouteID(parts[1])
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (k ShardKey) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *ShardKey) UnmarshalText(text []byte) error {
+	parts := strings.Split(string(text), "/")
+	if len(parts) != 4 {
+		return fmt.Errorf("%q is not customer/route/version/shard", text)
+	}
+	k.Customer, k.Route.Route = CustomerID(parts[0]), RouteID(parts[1])
+	k.Version, k.Shard = VersionID(parts[2]), ShardID(parts[3])
+	return nil
+}
+
 // Less orders shard keys by their parts.
 func (k ShardKey) Less(o ShardKey) bool { return k.Compare(o) < 0 }
 
