Check the operator token in one place

Cause: the generated security check refuses an empty bearer token, so a daemon on loopback without a token refused every operator. A required scheme with a dummy token was ruled out, since any client would have to know it.

The scheme is optional in the API now and one handler in front of the operator address checks the token for the API, metrics and profiles alike.

--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -230,6 +230,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -341,6 +342,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -470,6 +472,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -583,6 +586,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -694,6 +698,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -805,6 +810,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -919,6 +925,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -1051,6 +1058,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -1183,6 +1191,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -1333,6 +1342,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -133,6 +133,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -350,6 +351,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -533,6 +535,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -733,6 +736,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -916,6 +920,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -1099,6 +1104,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -1282,6 +1288,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -1480,6 +1487,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -1693,6 +1701,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
@@ -1906,6 +1915,7 @@
 		nextRequirement:
 			for _, requirement := range []bitset{
 				{0b00000001},
+				{},
 			} {
 				for i, mask := range requirement {
 					if satisfied[i]&mask != mask {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/ogen-go/ogen/ogenerrors"
 	"github.com/spf13/cobra"
 
 	"github.com/gooseberrylock/gooseberrylock/api/caller"
@@ -127,6 +128,9 @@
 
 // Token implements operator.SecuritySource.
 func (a *app) Token(context.Context, operator.OperationName) (operator.Token, error) {
+	if a.token == "" {
+		return operator.Token{}, ogenerrors.ErrSkipClientSecurity
+	}
 	return operator.Token{Token: a.token}, nil
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/ogen-go/ogen/ogenerrors"
 	"github.com/phuslu/log"
 
 	"github.com/gooseberrylock/gooseberrylock"
@@ -232,7 +233,7 @@
 
 // Token implements operator.SecuritySource.
 func (noToken) Token(context.Context, operator.OperationName) (operator.Token, error) {
-	return operator.Token{}, nil
+	return operator.Token{}, ogenerrors.ErrSkipClientSecurity
 }
 
 // operatorClient returns a client of one daemon.
--- a/operator.go
+++ b/operator.go
@@ -21,41 +21,40 @@
 
 // operatorServer serves requests of operators, metrics and profiles.
 func (d *Daemon) operatorServer() *http.Server {
-	h, err := api.NewServer(&operatorHandler{d: d}, &tokenCheck{token: d.cfg.Settings.Operator.Token},
-		api.WithTracerProvider(d.tracing.provider))
+	h, err := api.NewServer(&operatorHandler{d: d}, tokenCheck{}, api.WithTracerProvider(d.tracing.provider))
 	if err != nil {
 		panic(err) // only a fault in the generated code can cause this
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", h)
-	mux.Handle("GET /metrics", d.guard(d.metrics.handler()))
-	mux.Handle("/debug/pprof/", d.guard(http.HandlerFunc(pprof.Index)))
-	mux.Handle("/debug/pprof/profile", d.guard(http.HandlerFunc(pprof.Profile)))
-	mux.Handle("/debug/pprof/trace", d.guard(http.HandlerFunc(pprof.Trace)))
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	mux.Handle("GET /metrics", d.metrics.handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return &http.Server{Handler: d.guard(mux), ReadHeaderTimeout: readHeaderTimeout}
 }
 
 // errUnauthorized is returned for a missing or wrong token.
 var errUnauthorized = errors.New("missing or wrong bearer token")
 
-// tokenCheck implements the generated security handler.
-type tokenCheck struct{ token string }
+// tokenCheck implements the generated security handler. The token is checked by guard,
+// which covers the handlers without generated code too.
+type tokenCheck struct{}
 
 // HandleToken implements api.SecurityHandler.
-func (t *tokenCheck) HandleToken(ctx context.Context, _ api.OperationName, given api.Token) (context.Context, error) {
-	if t.token != "" && subtle.ConstantTimeCompare([]byte(t.token), []byte(given.Token)) != 1 {
-		return ctx, errUnauthorized
-	}
+func (tokenCheck) HandleToken(ctx context.Context, _ api.OperationName, _ api.Token) (context.Context, error) {
 	return ctx, nil
 }
 
-// guard protects handlers that the generated code does not cover.
+// guard answers only requests with the bearer token of the settings, if one is set.
 func (d *Daemon) guard(next http.Handler) http.Handler {
 	want := "Bearer " + d.cfg.Settings.Operator.Token
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		open := d.cfg.Settings.Operator.Token == ""
 		if !open && subtle.ConstantTimeCompare([]byte(want), []byte(r.Header.Get("Authorization"))) != 1 {
-			http.Error(w, errUnauthorized.Error(), http.StatusUnauthorized)
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusUnauthorized)
+			_ = json.NewEncoder(w).Encode(api.Error{Step: "authenticate operator", Reason: errUnauthorized.Error()})
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -256,8 +255,6 @@
 		status = http.StatusNotFound
 	case errors.As(err, &fault):
 		status = http.StatusBadRequest
-	case errors.Is(err, errUnauthorized):
-		status = http.StatusUnauthorized
 	}
 	return &api.ErrorStatusCode{
 		StatusCode: status,
