core/moves: add stages, pairing, commands and tests with a naive verdict

Cause: the package was an outline.

The verdict here takes a version back when its failure rate exceeds the old version's by 2 points in the last 100 pairs of one VM. It looks at no latency, and each VM judges by its own pairs and does not tell the others.

model.Move gains StagePairs (pairs per route when the stage began, so that a new owner knows what the stage still needs) and Settled (the template has caught up with an ended move). Without Settled, a template that goes back to the earlier stable version later would be overruled by the old move.

Ruled out: - Pacing by start + i/n alone. After a pause or a late stage every following stage is overdue at once and passes as soon as it has its pairs. Instead the stages that are left share the time that is left, which is the same times for a move that is on time. - Cumulative least pairs. The least pairs count per stage, since a version that is bad only under load gives no evidence in earlier stages. - A sliding window of several histograms for the slow threshold. One histogram whose p90 holds for the whole of the next window needs no merge and fixes the threshold before the outcomes that it judges.

Conclusion: a fixed threshold over a short window takes good versions back by chance and misses slow ones.

--- /dev/null
+++ b/core/moves/pairer_test.go
@@ -0,0 +1,108 @@
+package moves
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// TestPairs guards against outcomes that are used twice, halves that are too far apart,
+// and pairs across routes or moves.
+func TestPairs(t *testing.T) {
+	type in struct {
+		ms      int
+		new     bool
+		failed  bool
+		route   model.RouteID
+		moveTwo bool
+	}
+	tests := []struct {
+		name     string
+		outcomes []in
+		want     model.PairCounts
+	}{
+		{"one pair", []in{{ms: 0}, {ms: 1, new: true, failed: true}}, model.PairCounts{Pairs: 1, NewWorse: 1}},
+		{"both failed", []in{{ms: 0, failed: true}, {ms: 1, new: true, failed: true}}, model.PairCounts{Pairs: 1}},
+		{"old used once", []in{{ms: 0, failed: true}, {ms: 1, new: true}, {ms: 2, new: true}}, model.PairCounts{Pairs: 1, OldWorse: 1}},
+		{"latest first", []in{{ms: 0, failed: true}, {ms: 1}, {ms: 2, new: true, failed: true}}, model.PairCounts{Pairs: 1, NewWorse: 1}},
+		{"then the one before", []in{{ms: 0, failed: true}, {ms: 1}, {ms: 2, new: true}, {ms: 3, new: true}}, model.PairCounts{Pairs: 2, OldWorse: 1}},
+		{"5 s apart", []in{{ms: 0}, {ms: 5000, new: true}}, model.PairCounts{Pairs: 1}},
+		{"more than 5 s apart", []in{{ms: 0}, {ms: 5001, new: true}}, model.PairCounts{}},
+		{"new first", []in{{ms: 0, new: true}, {ms: 1}}, model.PairCounts{}},
+		{"other route", []in{{ms: 0, route: "other"}, {ms: 1, new: true}}, model.PairCounts{}},
+		{"other move", []in{{ms: 0, moveTwo: true}, {ms: 1, new: true}}, model.PairCounts{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := NewPairer()
+			for _, o := range tt.outcomes {
+				out := Outcome{Route: model.Route{Route: o.route}, Move: simMove, New: o.new, Failed: o.failed}
+				if o.moveTwo {
+					out.Move = "m2"
+				}
+				p.Record(out, model.Time(time.Duration(o.ms)*time.Millisecond))
+			}
+			var sum model.PairCounts
+			for _, ev := range flush(p, 6*time.Second) {
+				sum = sum.Add(ev.Failures)
+			}
+			is.Equal(sum, tt.want)
+			is.Equal(len(flush(p, 7*time.Second)), 0) // increments are reported once
+		})
+	}
+}
+
+// TestSlowThreshold guards against a threshold that follows the outcomes it judges, or
+// that is far from the old version's p90.
+func TestSlowThreshold(t *testing.T) {
+	is := is.New(t)
+	p := NewPairer()
+	now := model.Time(0)
+	record := func(fresh bool, latency time.Duration) {
+		now = now.Add(10 * time.Millisecond)
+		p.Record(Outcome{Move: simMove, New: fresh, Latency: latency}, now)
+	}
+	for i := range 2010 { // two windows of the old version, 1 to 100 ms
+		record(false, time.Duration(1+i*37%100)*time.Millisecond)
+	}
+	r := p.routes[pairKey{move: simMove}]
+	t.Logf("threshold %s for a p90 of 90 ms", r.slowest)
+	is.True(r.slowest >= 88*time.Millisecond && r.slowest <= 92*time.Millisecond)
+	before := r.slowest
+	for range 400 { // slower from now on: the window that is open must not judge itself
+		record(false, 200*time.Millisecond)
+		record(true, 150*time.Millisecond)
+	}
+	is.Equal(r.slowest, before)
+	ev := flush(p, time.Hour)[0]
+	is.Equal(ev.Slow, model.PairCounts{Pairs: 400}) // both halves are slow by the threshold before
+}
+
+// TestFirstPairsHaveNoThreshold guards against pairs judged by a threshold from a handful
+// of outcomes.
+func TestFirstPairsHaveNoThreshold(t *testing.T) {
+	is := is.New(t)
+	p := NewPairer()
+	for range firstOutcomes {
+		p.Record(Outcome{Move: simMove, Latency: time.Millisecond}, 0)
+		p.Record(Outcome{Move: simMove, New: true, Latency: time.Second}, 0)
+	}
+	ev := flush(p, 0)[0]
+	is.Equal(ev.Failures.Pairs, uint64(firstOutcomes))
+	is.Equal(ev.Slow.Pairs, uint64(0))
+}
+
+func flush(p *Pairer, at time.Duration) []model.MoveEvidence {
+	var out effect.List
+	p.Flush(model.Time(at), &out)
+	var list []model.MoveEvidence
+	for _, e := range out.Take() {
+		list = append(list, e.(effect.ReportOutcomes).Evidence)
+	}
+	return list
+}
--- /dev/null
+++ b/core/moves/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package moves
+
+const raceEnabled = true
--- /dev/null
+++ b/core/moves/verdict.go
@@ -0,0 +1,274 @@
+package moves
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+const (
+	// recentPairs is the number of pairs on this VM that the verdict looks at.
+	recentPairs = 100
+
+	// failureExcess is by how much the new version's failure rate may exceed the old one's.
+	failureExcess = 0.02
+)
+
+// addRecent keeps the last pairs of this VM.
+func (r *routeEvidence) addRecent(p model.PairCounts) {
+	r.recent = append(r.recent, p)
+	r.sum = r.sum.Add(p)
+	for r.sum.Pairs >= recentPairs+r.recent[0].Pairs {
+		old := r.recent[0]
+		r.recent = r.recent[1:]
+		r.sum.Pairs -= old.Pairs
+		r.sum.NewWorse -= old.NewWorse
+		r.sum.OldWorse -= old.OldWorse
+	}
+}
+
+// bad reports whether the failure rates in the recent pairs differ too much.
+func (r *routeEvidence) bad() bool {
+	excess := float64(r.sum.NewWorse) - float64(r.sum.OldWorse)
+	return r.sum.Pairs >= recentPairs && excess > failureExcess*float64(r.sum.Pairs)
+}
+
+func (r *routeEvidence) String() string {
+	return fmt.Sprintf("route %s: failed with the new version only in %d and with the old version only in %d of the last %d pairs",
+		r.route, r.sum.NewWorse, r.sum.OldWorse, r.sum.Pairs)
+}
+
+// inspect tests a move, running or recently ended, and logs what it finds.
+func (c *Controller) inspect(m *model.Move, out *effect.List) {
+	if c.forgotten(m) {
+		return
+	}
+	st, _ := c.state(m.Name)
+	if st == nil {
+		return
+	}
+	c.test(st, m, out)
+	c.logLate(st, m, out)
+	c.logOverdue(st, m, out)
+}
+
+// test withholds the new version when its failure rate on a route is too high.
+func (c *Controller) test(st *moveState, m *model.Move, out *effect.List) {
+	for _, id := range m.Routes {
+		if r := st.route(id); !st.withheld && r.bad() {
+			st.cause = r.String()
+			c.withhold(st, m, out)
+		}
+	}
+}
+
+// withhold stops traffic of this VM to the new version of a running move.
+func (c *Controller) withhold(st *moveState, m *model.Move, out *effect.List) {
+	st.withheld = true
+	if m.Phase.Final() {
+		return
+	}
+	c.changed = true
+	logMove(out, effect.Warn, "new version withheld", m, st.cause)
+}
+
+// logLate reports evidence against a version whose move is finished. The finish is final,
+// so traffic stays as it is.
+func (c *Controller) logLate(st *moveState, m *model.Move, out *effect.List) {
+	if !st.withheld || st.lateLogged || m.Phase != model.MoveFinished {
+		return
+	}
+	st.lateLogged = true
+	logMove(out, effect.Warn, "evidence against the new version after the move was finished", m, st.cause)
+}
+
+func (c *Controller) logOverdue(st *moveState, m *model.Move, out *effect.List) {
+	if st.overdueLogged || !overdue(m, c.wall) {
+		return
+	}
+	st.overdueLogged = true
+	logMove(out, effect.Warn, "move is overdue", m, "deadline "+m.Deadline.Format(time.RFC3339))
+}
+
+func overdue(m *model.Move, wall time.Time) bool {
+	return !m.Phase.Final() && !wall.Before(m.Deadline)
+}
+
+func logMove(out *effect.List, level effect.Level, message string, m *model.Move, cause string) {
+	out.Add(effect.Log{
+		Level:   level,
+		Message: message,
+		Step:    step,
+		Fields: []effect.Field{
+			{Key: "move", Value: m.Name},
+			{Key: "customer", Value: string(m.Customer)},
+			{Key: "version", Value: string(m.To)},
+			{Key: "cause", Value: cause},
+		},
+	})
+}
+
+// act writes what decide returns if this VM is the owner of the move and no write of it
+// is under way.
+func (c *Controller) act(o model.Object, decide func(model.Object) (model.Move, bool), in Input, out *effect.List) {
+	next, ok := decide(o)
+	if !ok || owner(next.Name, in.Live) != c.self || c.objects.Pending(o.Key) {
+		return
+	}
+	st, _ := c.state(next.Name)
+	if st == nil {
+		st = newMoveState(next.Name)
+		c.moves[next.Name] = st
+	}
+	if st.wroteVersion == o.Version && c.now.Sub(st.wroteAt) < writeInterval {
+		return
+	}
+	st.wroteVersion = o.Version
+	st.wroteAt = c.now
+	c.objects.Write(0, model.Object{Key: o.Key, Move: &next}, o.Version, c.now, out)
+}
+
+// owner returns the VM in charge of a move: the first by rendezvous hash.
+func owner(name string, live []model.VM) model.VM {
+	var best model.VM
+	var high uint64
+	for _, vm := range live {
+		h := xxhash.New()
+		_, _ = h.WriteString(name)
+		_, _ = h.WriteString("\x00")
+		_, _ = h.WriteString(string(vm))
+		if s := h.Sum64(); best == "" || s > high {
+			best, high = vm, s
+		}
+	}
+	return best
+}
+
+// decide returns the next state of a running move.
+func (c *Controller) decide(o model.Object) (model.Move, bool) {
+	m := o.Move
+	st := c.moves[m.Name]
+	if m.Withheld || (st != nil && st.withheld) {
+		return c.decideWithheld(m, st)
+	}
+	if c.paused {
+		return model.Move{}, false
+	}
+	if reason, gone := c.obsolete(m); gone {
+		return c.takenBack(m, reason), true
+	}
+	if c.settling() {
+		return model.Move{}, false
+	}
+	if !c.wall.Before(end(m)) {
+		return c.decideAtEnd(m), true
+	}
+	if _, _, missing := c.missingPairs(m); missing || lastStage(m) || c.wall.Before(due(m, c.stageBegan(m))) {
+		return model.Move{}, false
+	}
+	return c.advanced(m), true
+}
+
+// settling reports whether this controller has run for too short a time to have heard
+// the counters of every running move from its peers.
+func (c *Controller) settling() bool {
+	rounds := 1 + c.index.runningRoutes/maxOwnEntries
+	return c.now.Sub(c.started) < settleTime+time.Duration(rounds)*evidenceInterval
+}
+
+// decideWithheld takes a withheld move back, or keeps the mark in the store while
+// automation is paused, so that it survives restarts.
+func (c *Controller) decideWithheld(m *model.Move, st *moveState) (model.Move, bool) {
+	reason := m.Reason
+	if reason == "" && st != nil {
+		reason = st.cause
+	}
+	if !c.paused {
+		return c.takenBack(m, reason), true
+	}
+	if m.Withheld {
+		return model.Move{}, false
+	}
+	next := *m
+	next.Withheld = true
+	next.Reason = reason
+	return next, true
+}
+
+// obsolete reports why a running move can never finish, whatever the evidence.
+func (c *Controller) obsolete(m *model.Move) (string, bool) {
+	for _, id := range m.Routes {
+		if other := c.index.holder[model.Route{Customer: m.Customer, Route: id}]; other.name != m.Name {
+			return fmt.Sprintf("route %s belongs to move %q, which started earlier", id, other.name), true
+		}
+		r, ok := c.routeConfig(m.Customer, id)
+		if !ok {
+			continue
+		}
+		if _, ok := r.Version(m.To); !ok {
+			return fmt.Sprintf("version %q of route %s is no longer in the template", m.To, id), true
+		}
+	}
+	return "", false
+}
+
+// decideAtEnd gives the verdict on a move without evidence against it once the reserve
+// begins. A move that resumed after that time has not run its stage and is taken back.
+func (c *Controller) decideAtEnd(m *model.Move) model.Move {
+	if overdue(m, c.wall) {
+		return c.takenBack(m, "the deadline passed in "+stageName(m))
+	}
+	if !lastStage(m) || !c.stageBegan(m).Before(end(m)) {
+		return c.takenBack(m, fmt.Sprintf("not through %s at the deadline less the reserve%s", stageName(m), c.shortfall(m)))
+	}
+	if s := c.shortfall(m); s != "" {
+		return c.takenBack(m, "too few pairs at the deadline less the reserve"+s)
+	}
+	return c.finished(m)
+}
+
+func stageName(m *model.Move) string {
+	return fmt.Sprintf("stage %d of %d", stageOf(m)+1, len(stages))
+}
+
+// shortfall names a route with too few pairs in this stage.
+func (c *Controller) shortfall(m *model.Move) string {
+	id, have, missing := c.missingPairs(m)
+	if !missing {
+		return ""
+	}
+	return fmt.Sprintf("; route %s has %d of %d pairs in %s", id, have, stages[stageOf(m)].pairs, stageName(m))
+}
+
+func (c *Controller) advanced(m *model.Move) model.Move {
+	next := *m
+	next.Stage++
+	next.StageStarted = c.wall
+	next.StagePairs = make([]uint64, len(m.Routes))
+	for i, id := range m.Routes {
+		next.StagePairs[i] = c.totalPairs(m.Name, id)
+	}
+	return next
+}
+
+func (c *Controller) finished(m *model.Move) model.Move {
+	next := *m
+	next.Phase = model.MoveFinished
+	next.Ended = c.wall
+	next.Reason = "all stages passed"
+	next.Settled = c.settled(&next)
+	return next
+}
+
+func (c *Controller) takenBack(m *model.Move, reason string) model.Move {
+	next := *m
+	next.Phase = model.MoveTakenBack
+	next.Ended = c.wall
+	next.Reason = reason
+	next.Settled = c.settled(&next)
+	return next
+}
--- a/model/object.go
+++ b/model/object.go
@@ -100,9 +100,13 @@
 	Phase        MovePhase
 	Stage        int // index into the stage shares
 	StageStarted time.Time
-	Withheld     bool   // found bad while automation was paused; receives no traffic
-	Reason       string // why it ended, with figures
+	StagePairs   []uint64 // pairs seen per route, in the order of Routes, when the stage began
+	Withheld     bool     // found bad while automation was paused; receives no traffic
+	Reason       string   // why it ended or is withheld, with figures
 	Ended        time.Time
+	// Settled is set after the end once the template's stable version has been the outcome
+	// on every route; the move no longer decides where traffic goes.
+	Settled bool
 }
 
 // PairCounts counts outcomes of paired requests, one to the new and one to the old
