core/moves: replace the naive verdict by the sequential test

Every VM now sums the counters of all VMs, by VM and boot, and withholds the new version when the mixture likelihood ratio of a measure on a route crosses 1/alpha. Marks of withheld moves go into every heartbeat and are adopted by every VM that hears one.

Ruled out: - Sending only the VM's own counters. After a rolling restart the evidence of earlier boots would be gone, so heartbeats relay other VMs' counters in rotation. Counters merge by maximum, so relaying and doubling are harmless. - Counters in every heartbeat: ten a second to eight peers for evidence that changes slowly. They go out every 500 ms, bounded in number. - Evaluating the ratio at every change.

A version that turns bad late is found a few seconds later than by the naive rule: its good outcomes count too.

--- a/core/moves/evidence.go
+++ b/core/moves/evidence.go
@@ -9,13 +9,15 @@
 )
 
 const (
-	// evidenceInterval spaces the heartbeats that carry counters.
+	// evidenceInterval spaces the heartbeats that carry counters. Marks of withheld moves
+	// go into every heartbeat.
 	evidenceInterval = 500 * time.Millisecond
 
 	// Most entries of each sort in one heartbeat; the rest follows in rotation. They bound
 	// the size of a heartbeat when many moves run at once.
 	maxOwnEntries     = 16
 	maxRelayedEntries = 4
+	maxWithheldMarks  = 8
 )
 
 // source is one boot of one VM. Counters only rise within a source.
@@ -31,8 +33,7 @@
 	sources map[source]*model.MoveEvidence
 	order   []*model.MoveEvidence // by arrival of the first report
 	total   model.MoveEvidence
-	recent  []model.PairCounts // failures in the last pairs of this VM
-	sum     model.PairCounts   // of recent
+	changed bool // total changed since the last test
 }
 
 // entry returns the counters of a source.
@@ -50,6 +51,7 @@
 func (r *routeEvidence) add(s source, inc model.MoveEvidence) {
 	addCounters(r.entry(s, inc.Move), inc)
 	addCounters(&r.total, inc)
+	r.changed = true
 }
 
 // merge takes in the counters of a source. Doubled and reordered reports have no effect,
@@ -68,6 +70,7 @@
 	}
 	addCounters(e, inc)
 	addCounters(&r.total, inc)
+	r.changed = true
 }
 
 // pairs returns the pairs that count for every measure.
@@ -120,14 +123,16 @@
 
 // rotation remembers where the next heartbeat continues.
 type rotation struct {
-	own, relayed int
-	sent         bool
-	sentAt       model.Time // last heartbeat with counters
+	own, relayed, marks int
+	sent                bool
+	sentAt              model.Time // last heartbeat with counters
 }
 
-// Fill sets the fields of a heartbeat that moves own: at intervals the counters of this VM and, in rotation, those that it has heard. Relaying
+// Fill sets the fields of a heartbeat that moves own: marks of withheld moves, and at
+// intervals the counters of this VM and, in rotation, those that it has heard. Relaying
 // carries evidence to a VM that restarted after its source was gone.
 func (c *Controller) Fill(hb *event.Heartbeat) {
+	hb.Evidence = take(hb.Evidence, c.marks(), &c.rotation.marks, maxWithheldMarks)
 	if c.rotation.sent && c.now.Sub(c.rotation.sentAt) < evidenceInterval {
 		return
 	}
@@ -138,9 +143,21 @@
 	hb.Evidence = take(hb.Evidence, relayed, &c.rotation.relayed, maxRelayedEntries)
 }
 
-// ownEntry returns the counters of this VM.
+// marks lists one entry of this VM for each running move that it has withheld.
+func (c *Controller) marks() []*model.MoveEvidence {
+	var list []*model.MoveEvidence
+	for _, o := range c.index.running {
+		if st, ok := c.moves[o.Move.Name]; ok && st.withheld {
+			list = append(list, c.ownEntry(st, o.Move.Routes[0]))
+		}
+	}
+	return list
+}
+
+// ownEntry returns the counters of this VM and marks them if the move is withheld.
 func (c *Controller) ownEntry(st *moveState, id model.RouteID) *model.MoveEvidence {
 	e := st.route(id).entry(source{c.self, c.boot}, st.name)
+	e.Withheld = st.withheld
 	return e
 }
 
--- a/core/moves/moves.go
+++ b/core/moves/moves.go
@@ -113,9 +113,7 @@
 	if st == nil || !covers(m, ev.Evidence.Route) {
 		return
 	}
-	r := st.route(ev.Evidence.Route)
-	r.add(source{c.self, c.boot}, ev.Evidence)
-	r.addRecent(ev.Evidence.Failures)
+	st.route(ev.Evidence.Route).add(source{c.self, c.boot}, ev.Evidence)
 }
 
 // Heartbeat takes in the evidence of a peer.
@@ -126,6 +124,9 @@
 			continue
 		}
 		st.route(ev.Route).merge(ev)
+		if ev.Withheld && !st.withheld {
+			c.adopt(st, m, ev.VM, out)
+		}
 	}
 }
 
--- a/core/moves/verdict.go
+++ b/core/moves/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,36 +11,51 @@
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
-const (
-	// recentPairs is the number of pairs on this VM that the verdict looks at.
-	recentPairs = 100
+// finding is the strongest evidence against the new version of a move.
+type finding struct {
+	route   model.RouteID
+	measure string
+	counts  model.PairCounts
+	ratio   float64 // logarithm of the likelihood ratio
+}
 
-	// failureExcess is by how much the new version's failure rate may exceed the old one's.
-	failureExcess = 0.02
-)
+func (f finding) String() string {
+	return fmt.Sprintf("route %s: %s with the new version only in %d and with the old version only in %d of %d pairs, log likelihood ratio %.1f",
+		f.route, f.measure, f.counts.NewWorse, f.counts.OldWorse, f.counts.Pairs, f.ratio)
+}
+
+// mayExceed reports whether a measure can reach the limit, by the bound in maxRatio.
+func (r *routeEvidence) mayExceed(limit float64) bool {
+	return maxRatio(r.total.Failures) >= limit || maxRatio(r.total.Slow) >= limit
+}
 
-// addRecent keeps the last pairs of this VM.
-func (r *routeEvidence) addRecent(p model.PairCounts) {
-	r.recent = append(r.recent, p)
-	r.sum = r.sum.Add(p)
-	for r.sum.Pairs >= recentPairs+r.recent[0].Pairs {
-		old := r.recent[0]
-		r.recent = r.recent[1:]
-		r.sum.Pairs -= old.Pairs
-		r.sum.NewWorse -= old.NewWorse
-		r.sum.OldWorse -= old.OldWorse
+// worst returns the strongest finding on one route.
+func (r *routeEvidence) worst() finding {
+	failed := finding{r.route, "failed", r.total.Failures, ratio(r.total.Failures)}
+	slow := finding{r.route, "slow", r.total.Slow, ratio(r.total.Slow)}
+	if slow.ratio > failed.ratio {
+		return slow
 	}
+	return failed
 }
 
-// bad reports whether the failure rates in the recent pairs differ too much.
-func (r *routeEvidence) bad() bool {
-	excess := float64(r.sum.NewWorse) - float64(r.sum.OldWorse)
-	return r.sum.Pairs >= recentPairs && excess > failureExcess*float64(r.sum.Pairs)
+// ratio returns the logarithm of the likelihood ratio, or 0 where it cannot be above 0.
+func ratio(p model.PairCounts) float64 {
+	if p.NewWorse <= p.OldWorse {
+		return 0
+	}
+	return logRatio(p.NewWorse, p.OldWorse)
 }
 
-func (r *routeEvidence) String() string {
-	return fmt.Sprintf("route %s: failed with the new version only in %d and with the old version only in %d of the last %d pairs",
-		r.route, r.sum.NewWorse, r.sum.OldWorse, r.sum.Pairs)
+// worst returns the strongest finding on the routes of a move.
+func (s *moveState) worst(m *model.Move) finding {
+	worst := finding{ratio: math.Inf(-1)}
+	for _, id := range m.Routes {
+		if f := s.route(id).worst(); f.ratio > worst.ratio {
+			worst = f
+		}
+	}
+	return worst
 }
 
 // inspect tests a move, running or recently ended, and logs what it finds.
@@ -56,11 +72,20 @@
 	c.logOverdue(st, m, out)
 }
 
-// test withholds the new version when its failure rate on a route is too high.
+// test withholds the new version when the evidence on a route crosses the threshold.
 func (c *Controller) test(st *moveState, m *model.Move, out *effect.List) {
+	limit := threshold(len(m.Routes))
 	for _, id := range m.Routes {
-		if r := st.route(id); !st.withheld && r.bad() {
-			st.cause = r.String()
+		r := st.route(id)
+		if !r.changed {
+			continue
+		}
+		r.changed = false
+		if st.withheld || !r.mayExceed(limit) {
+			continue
+		}
+		if f := r.worst(); f.ratio >= limit {
+			st.cause = f.String()
 			c.withhold(st, m, out)
 		}
 	}
@@ -76,6 +101,12 @@
 	logMove(out, effect.Warn, "new version withheld", m, st.cause)
 }
 
+// adopt withholds the new version of a move that a peer has withheld.
+func (c *Controller) adopt(st *moveState, m *model.Move, peer model.VM, out *effect.List) {
+	st.cause = fmt.Sprintf("withheld by VM %s; evidence seen here: %s", peer, st.worst(m))
+	c.withhold(st, m, out)
+}
+
 // logLate reports evidence against a version whose move is finished. The finish is final,
 // so traffic stays as it is.
 func (c *Controller) logLate(st *moveState, m *model.Move, out *effect.List) {
@@ -260,6 +291,9 @@
 	next.Phase = model.MoveFinished
 	next.Ended = c.wall
 	next.Reason = "all stages passed"
+	if st, ok := c.moves[m.Name]; ok {
+		next.Reason += "; strongest evidence against the new version: " + st.worst(m).String()
+	}
 	next.Settled = c.settled(&next)
 	return next
 }
