core/moves: alternate the order of the halves of a pair

Cause: each new-version outcome was paired with the latest unpaired old-version outcome, so the old version's half always came first. When a fault hits both versions at once, such as a lost zone, every pair that spans its start has a good old half and a bad new half. With 90 traffic workers that is enough to withhold a version that is not worse: the pairs are not independent, which the test assumes. At share 0.5 the list of unpaired outcomes also held halves from seconds before.

Pairs now alternate: first the latest unpaired outcome of the old version with the next one of the new version, then the latest unpaired one of the new version with the next one of the old version. Only the latest outcome of each version waits.

Ruled out: dropping both waiting halves after each pair.

TestCommonFault is new: equal versions, 90 workers, three faults of 10 s with 50% failures and three times the latency. After: 0 of 10 at every share.

Conclusion: common faults no longer count against the new version.

--- a/core/moves/pairer.go
+++ b/core/moves/pairer.go
@@ -16,10 +16,6 @@
 	// longer times, which would show as a difference between the versions.
 	maxPairAge = 5 * time.Second
 
-	// maxUnpaired bounds the outcomes of the old version that wait for a partner. Only the
-	// latest are used, so a longer list would gain pairs only in bursts.
-	maxUnpaired = 128
-
 	// slowQuantile is the quantile of the old version's latency above which a query is slow.
 	slowQuantile = 0.9
 
@@ -108,8 +104,9 @@
 		cmp.Compare(a.route.Route, b.route.Route))
 }
 
-// unpaired is an outcome of the old version that waits for a partner.
-type unpaired struct {
+// half is an outcome that waits for a partner of the other version.
+type half struct {
+	waiting bool
 	at      model.Time
 	failed  bool
 	slow    bool
@@ -118,11 +115,12 @@
 
 // routePairs pairs the outcomes of one route and move.
 type routePairs struct {
-	counts  model.MoveEvidence
-	last    model.Time
-	waiting [maxUnpaired]unpaired // a stack in a ring: the oldest is overwritten
-	top     int                   // index after the latest
-	size    int
+	counts model.MoveEvidence
+	last   model.Time
+
+	oldHalf  half // latest unpaired outcome of the old version
+	newHalf  half // latest unpaired outcome of the new version
+	newFirst bool // the new version's half comes first in the next pair
 
 	latencies   *hdrhistogram.Histogram // of the old version, in this window
 	windowStart model.Time
@@ -136,52 +134,60 @@
 	return &routePairs{latencies: h, windowStart: now}
 }
 
-// recordOld keeps an outcome of the old version for pairing. It is judged by a threshold
-// that was fixed before, and its partner by the same one, so that under equal versions
-// either half of a pair is as likely to be the slow one.
+// recordOld takes in an outcome of the old version.
 func (r *routePairs) recordOld(o Outcome, now model.Time) {
 	r.counts.Old++
-	r.waiting[r.top] = unpaired{
-		at:      now,
-		failed:  o.Failed,
-		slow:    r.slowest > 0 && o.Latency > r.slowest,
-		slowest: r.slowest,
+	if r.newFirst && r.newHalf.usable(now) {
+		r.pair(r.newHalf, r.judge(o, r.newHalf.slowest, now))
+	} else {
+		r.oldHalf = r.judge(o, r.slowest, now)
 	}
-	r.top = (r.top + 1) % maxUnpaired
-	r.size = min(r.size+1, maxUnpaired)
 	if !o.Failed {
 		r.recordLatency(o.Latency, now)
 	}
 }
 
-// recordNew pairs an outcome of the new version with the latest unpaired one of the old
-// version. Without one it is not paired.
+// recordNew takes in an outcome of the new version.
 func (r *routePairs) recordNew(o Outcome, now model.Time) {
 	r.counts.New++
-	old, ok := r.pop(now)
-	if !ok {
-		return
+	if !r.newFirst && r.oldHalf.usable(now) {
+		r.pair(r.judge(o, r.oldHalf.slowest, now), r.oldHalf)
+	} else {
+		r.newHalf = r.judge(o, r.slowest, now)
 	}
-	countPair(&r.counts.Failures, o.Failed, old.failed)
-	if old.slowest > 0 {
-		countPair(&r.counts.Slow, o.Latency > old.slowest, old.slow)
+}
+
+// judge returns an outcome as half of a pair. The second half of a pair is judged by the
+// threshold of the first, which was fixed before either.
+func (r *routePairs) judge(o Outcome, slowest time.Duration, now model.Time) half {
+	return half{
+		waiting: true,
+		at:      now,
+		failed:  o.Failed,
+		slow:    slowest > 0 && o.Latency > slowest,
+		slowest: slowest,
 	}
 }
 
-// pop removes the latest unpaired outcome if it is recent enough. If it is not, neither
-// are those before it.
-func (r *routePairs) pop(now model.Time) (unpaired, bool) {
-	if r.size == 0 {
-		return unpaired{}, false
+// usable reports whether a half waits and is recent enough.
+func (h half) usable(now model.Time) bool {
+	return h.waiting && now.Sub(h.at) <= maxPairAge
+}
+
+// pair counts a pair. The order of the halves alternates: with the old version always
+// first, the start of a fault that hits both versions falls between the halves of many
+// pairs, all of which count against the new version.
+func (r *routePairs) pair(newHalf, oldHalf half) {
+	countPair(&r.counts.Failures, newHalf.failed, oldHalf.failed)
+	if newHalf.slowest > 0 {
+		countPair(&r.counts.Slow, newHalf.slow, oldHalf.slow)
 	}
-	latest := (r.top + maxUnpaired - 1) % maxUnpaired
-	if now.Sub(r.waiting[latest].at) > maxPairAge {
-		r.size = 0
-		return unpaired{}, false
+	if r.newFirst {
+		r.newHalf = half{}
+	} else {
+		r.oldHalf = half{}
 	}
-	r.top = latest
-	r.size--
-	return r.waiting[latest], true
+	r.newFirst = !r.newFirst
 }
 
 func countPair(p *model.PairCounts, newBad, oldBad bool) {
--- a/core/moves/pairer_test.go
+++ b/core/moves/pairer_test.go
@@ -1,6 +1,9 @@
 package moves
 
 import (
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -29,7 +32,11 @@
 		{"both failed", []in{{ms: 0, failed: true}, {ms: 1, new: true, failed: true}}, model.PairCounts{Pairs: 1}},
 		{"old used once", []in{{ms: 0, failed: true}, {ms: 1, new: true}, {ms: 2, new: true}}, model.PairCounts{Pairs: 1, OldWorse: 1}},
 		{"latest first", []in{{ms: 0, failed: true}, {ms: 1}, {ms: 2, new: true, failed: true}}, model.PairCounts{Pairs: 1, NewWorse: 1}},
-		{"then the one before", []in{{ms: 0, failed: true}, {ms: 1}, {ms: 2, new: true}, {ms: 3, new: true}}, model.PairCounts{Pairs: 2, OldWorse: 1}},
+		{"then new first", []in{{ms: 0}, {ms: 1, new: true}, {ms: 2, new: true, failed: true}, {ms: 3}}, model.PairCounts{Pairs: 2, NewWorse: 1}},
+		{"then not old first", []in{{ms: 0}, {ms: 1, new: true}, {ms: 2, failed: true}, {ms: 3, new: true}, {ms: 4}}, model.PairCounts{Pairs: 2}},
+		{"new used once", []in{{ms: 0}, {ms: 1, new: true}, {ms: 2, new: true, failed: true}, {ms: 3}, {ms: 4}}, model.PairCounts{Pairs: 2, NewWorse: 1}},
+		{"latest new", []in{{ms: 0}, {ms: 1, new: true}, {ms: 2, new: true, failed: true}, {ms: 3, new: true}, {ms: 4}}, model.PairCounts{Pairs: 2}},
+		{"new more than 5 s before old", []in{{ms: 0}, {ms: 1, new: true}, {ms: 2, new: true}, {ms: 5003}}, model.PairCounts{Pairs: 1}},
 		{"5 s apart", []in{{ms: 0}, {ms: 5000, new: true}}, model.PairCounts{Pairs: 1}},
 		{"more than 5 s apart", []in{{ms: 0}, {ms: 5001, new: true}}, model.PairCounts{}},
 		{"new first", []in{{ms: 0, new: true}, {ms: 1}}, model.PairCounts{}},
@@ -74,9 +81,9 @@
 	t.Logf("threshold %s for a p90 of 90 ms", r.slowest)
 	is.True(r.slowest >= 88*time.Millisecond && r.slowest <= 92*time.Millisecond)
 	before := r.slowest
-	for range 400 { // slower from now on: the window that is open must not judge itself
-		record(false, 200*time.Millisecond)
-		record(true, 150*time.Millisecond)
+	for i := range 400 { // slower from now on: the window that is open must not judge itself
+		record(i%2 == 1, 200*time.Millisecond)
+		record(i%2 == 0, 150*time.Millisecond)
 	}
 	is.Equal(r.slowest, before)
 	ev := flush(p, time.Hour)[0]
@@ -88,9 +95,9 @@
 func TestFirstPairsHaveNoThreshold(t *testing.T) {
 	is := is.New(t)
 	p := NewPairer()
-	for range firstOutcomes {
-		p.Record(Outcome{Move: simMove, Latency: time.Millisecond}, 0)
-		p.Record(Outcome{Move: simMove, New: true, Latency: time.Second}, 0)
+	for i := range firstOutcomes {
+		p.Record(Outcome{Move: simMove, New: i%2 == 1, Latency: time.Second}, 0)
+		p.Record(Outcome{Move: simMove, New: i%2 == 0, Latency: time.Second}, 0)
 	}
 	ev := flush(p, 0)[0]
 	is.Equal(ev.Failures.Pairs, uint64(firstOutcomes))
@@ -106,3 +113,55 @@
 	}
 	return list
 }
+
+// TestCommonFault guards against faults that hit both versions at once, such as a lost
+// zone, counting against the new one because of the order of the halves of a pair. Many
+// workers see the same start and end of the fault, so each may add a pair that spans it.
+func TestCommonFault(t *testing.T) {
+	const (
+		workers = 90
+		rate    = 2000 // queries a second over all workers
+		trials  = 10
+		period  = 10 * time.Second
+	)
+	for _, stage := range stages {
+		t.Run(fmt.Sprintf("share %.2f", stage.share), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			crossed := 0
+			for seed := range seedCount(trials) {
+				rng := rand.New(rand.NewPCG(uint64(seed), 5))
+				r := &routeEvidence{}
+				pairers := make([]*Pairer, workers)
+				for i := range pairers {
+					pairers[i] = NewPairer()
+				}
+				over := false
+				for i := range 7 * int(period.Seconds()) * rate {
+					now := model.Time(i) * model.Time(time.Second) / rate
+					o := Outcome{Move: simMove, New: rng.Float64() < stage.share}
+					fail, latency := 0.01, 8*math.Exp(0.5*rng.NormFloat64())
+					if int(now/model.Time(period))%2 == 1 {
+						fail, latency = 0.5, 3*latency
+					}
+					o.Failed = rng.Float64() < fail
+					o.Latency = time.Duration(latency * float64(time.Millisecond))
+					pairers[rng.IntN(workers)].Record(o, now)
+					if i%200 == 0 {
+						for _, p := range pairers {
+							for _, ev := range flush(p, time.Duration(now)) {
+								addCounters(&r.total, ev)
+							}
+						}
+						over = over || r.worst().ratio >= threshold(1)
+					}
+				}
+				if over {
+					crossed++
+				}
+			}
+			t.Logf("withheld: %d of %d", crossed, trials)
+			is.Equal(crossed, 0)
+		})
+	}
+}
