--- /dev/null
+++ b/core/query/golden_test.go
@@ -0,0 +1,95 @@
+package query_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// TestGoldenSessions guards the effects of whole sessions against unintended change.
+func TestGoldenSessions(t *testing.T) {
+	sessions := map[string]func(d *driver){
+		"straggler": func(d *driver) {
+			s := d.search(1)
+			d.advance(8 * ms)
+			d.reply("vm1", replyTo(s[0], model.OutcomeOK, 3, 7), replyTo(s[3], model.OutcomeOK, 3, 7))
+			d.advance(9 * ms)
+			d.result(model.OutcomeOK, 3, 7, s[1])
+			d.advance(120 * ms)
+			d.result(model.OutcomeOK, 3, 7, s[2])
+		},
+		"restart": func(d *driver) {
+			d.result(model.OutcomeOK, 3, 7, d.search(1)...)
+			d.advance(200 * ms)
+			s := d.search(2)
+			d.advance(204 * ms)
+			d.result(model.OutcomeOK, 6, 9, s[0])
+			d.advance(205 * ms)
+			d.result(model.OutcomeSnapshotGone, 8, 9, s[1])
+			d.advance(206 * ms)
+			d.result(model.OutcomeOK, 6, 8, s[2])
+			d.advance(208 * ms)
+			d.result(model.OutcomeOK, 6, 9, s[3])
+			again := d.takeByShard()
+			d.advance(215 * ms)
+			d.result(model.OutcomeOK, 8, 9, again...)
+		},
+	}
+	for name, play := range sessions {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDriver(1, newView(4, 1))
+			var log strings.Builder
+			d.before = func(ev event.Event) { fmt.Fprintf(&log, "%v %s\n", time.Duration(d.now), eventLine(ev)) }
+			d.seen = func(e effect.Effect) { fmt.Fprintf(&log, "    %s\n", effectLine(e)) }
+			play(d)
+			file := filepath.Join("testdata", name+".golden")
+			if *update {
+				is.NoErr(os.MkdirAll("testdata", 0o755))
+				is.NoErr(os.WriteFile(file, []byte(log.String()), 0o644))
+			}
+			want, err := os.ReadFile(file)
+			is.NoErr(err)
+			is.Equal(log.String(), string(want))
+		})
+	}
+}
+
+func eventLine(ev event.Event) string {
+	switch e := ev.(type) {
+	case event.RequestReceived:
+		return fmt.Sprintf("RequestReceived query %d %s on %s", e.Request.Query, e.Request.Kind, e.Request.Route)
+	case event.SubRepliesReceived:
+		line := "SubRepliesReceived from " + string(e.From)
+		for _, r := range e.Replies {
+			line += fmt.Sprintf(" [%s run %d %s snapshot %d of %d-%d]", r.Key.Shard, r.Run, r.Outcome, r.Snapshot, r.Oldest, r.Newest)
+		}
+		return line
+	}
+	return fmt.Sprintf("%T", ev)
+}
+
+func effectLine(e effect.Effect) string {
+	switch e := e.(type) {
+	case effect.SendSubRequests:
+		line := "SendSubRequests to " + string(e.To)
+		for _, r := range e.Requests {
+			line += fmt.Sprintf(" [%s/%s run %d snapshot %d budget %v]", r.Key.Version, r.Key.Shard, r.Run, r.Snapshot, r.Budget)
+		}
+		return line
+	case effect.ReplyCaller:
+		return fmt.Sprintf("ReplyCaller answer %+v refusal %+v", e.Answer, e.Refusal)
+	}
+	return fmt.Sprintf("%T %+v", e, e)
+}
