core/query: plan, pin, gather, retry and at-most-once

Retries without proof that the work did not run draw from a token bucket of 10% of the sub-requests per worker. A submit is sent again only to another owner on proof, under a new run number.

Runs count over the whole table from a random start.

--- a/core/query/query.go
+++ b/core/query/query.go
@@ -1,15 +1,11 @@
 // Package query is the entry side of the traffic role: it plans a request over shards, pins
 // a version and a snapshot, gathers replies and answers the caller with true coverage.
-//
-// This version is a baseline for the tests: it merges whatever arrives by query ID, checks no
-// snapshot, run or shard, and sends every unanswered sub-request again after a timeout.
 package query
 
 import (
 	"cmp"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
 	"github.com/gooseberrylock/gooseberrylock/core/event"
@@ -19,170 +15,285 @@
 
 // Names of the counters that a Table reports by effect.Count.
 const (
-	CountLateReplies      = "query.replies.late"
-	CountOldRunReplies    = "query.replies.old_run"
-	CountForeignReplies   = "query.replies.foreign"
-	CountDuplicateReplies = "query.replies.duplicate"
-	CountDuplicateQueries = "query.duplicate_id"
+	CountLateReplies      = "query.replies.late"      // the query has ended or never ran here
+	CountOldRunReplies    = "query.replies.old_run"   // the query has been restarted
+	CountForeignReplies   = "query.replies.foreign"   // other shard, or a peer that was not asked
+	CountDuplicateReplies = "query.replies.duplicate" // the shard has already been settled
+	CountDuplicateQueries = "query.duplicate_id"      // a request with the ID of a running query
 	CountRestarts         = "query.restarts"
-	CountRetries          = "query.retries"
-	CountRetriesDenied    = "query.retries.denied"
+	CountRetries          = "query.retries"        // sub-requests sent again
+	CountRetriesDenied    = "query.retries.denied" // not sent again for lack of budget
 )
 
-// Timing and bounds.
-const (
-	AnswerReserve = 2 * time.Millisecond
-	HopReserve    = time.Millisecond
-	RetryBackoff  = 20 * time.Millisecond
-	RetryBurst    = 100
-)
-
-type query struct {
-	req      model.Request
-	version  model.VersionID
-	shards   []model.ShardID
-	done     map[model.ShardID]bool
-	snapshot model.Snapshot
-	hits     []model.Hit
-	retryAt  model.Time
-	deadline model.Time
+// recorder takes in the end of queries on routes with a running move.
+type recorder interface {
+	Record(o moves.Outcome, now model.Time)
 }
 
 // Table holds the running queries of one traffic worker.
 type Table struct {
-	rng     *rand.Rand
-	view    *model.View
-	queries map[model.QueryID]*query
+	rng      *rand.Rand
+	outcomes recorder
+	view     *model.View
+	routes   catalog
+	queries  map[model.QueryID]*query
+	timers   timerHeap
+	budget   retryBudget
+	lastRun  uint32
 }
 
 // New returns an empty table.
 func New(rng *rand.Rand, pairer *moves.Pairer) *Table {
-	return &Table{rng: rng, queries: make(map[model.QueryID]*query)}
+	return &Table{
+		rng:      rng,
+		outcomes: pairer,
+		queries:  make(map[model.QueryID]*query),
+		budget:   newRetryBudget(),
+		// Runs are numbered over the whole table from a random start, so that a reply to an
+		// earlier process or to an earlier use of a query ID matches nothing.
+		lastRun: rng.Uint32(),
+	}
 }
 
 // View replaces the view.
-func (t *Table) View(v *model.View, now model.Time, out *effect.List) { t.view = v }
+func (t *Table) View(v *model.View, now model.Time, out *effect.List) {
+	if v == nil {
+		return
+	}
+	t.view = v
+	t.routes.update(v.Config)
+	for _, q := range t.sorted() {
+		t.applyView(q, now, out)
+	}
+}
 
 // Request starts a query.
 func (t *Table) Request(ev event.RequestReceived, now model.Time, out *effect.List) {
-	req := ev.Request
-	if t.view == nil || t.view.Draining {
-		refuse(req.Query, model.RefusedNotRun, "not ready", out)
+	if _, ok := t.queries[ev.Request.Query]; ok {
+		// Both requests have the same ID, so the one reply belongs to the running query.
+		count(out, CountDuplicateQueries, 1)
 		return
 	}
-	route, ok := t.view.Config.Route(req.Route)
-	if !ok {
-		refuse(req.Query, model.RefusedInvalid, "unknown route", out)
+	q, refusal := t.plan(ev.Request, now)
+	if refusal != nil {
+		out.Add(effect.ReplyCaller{Query: ev.Request.Query, Refusal: refusal})
 		return
 	}
-	q := &query{req: req, version: route.StableVersion, done: make(map[model.ShardID]bool)}
-	if s, ok := t.view.Config.Shares[req.Route]; ok && t.rng.Float64() < s.Share {
-		q.version = s.To
-	}
-	version, _ := route.Version(q.version)
-	for _, s := range version.Shards {
-		if req.Kind == model.KindSearch || s.ID == req.Shard {
-			q.shards = append(q.shards, s.ID)
-		}
+	t.queries[q.req.Query] = q
+	t.budget.earn(len(q.shards))
+	t.place(q)
+	t.advance(q, now, out)
+}
+
+// CallerGone ends a query whose caller has disconnected. A submit that has been sent goes
+// on, since cancelling it would not undo it.
+func (t *Table) CallerGone(ev event.CallerGone, now model.Time, out *effect.List) {
+	q, ok := t.queries[ev.Query]
+	if !ok {
+		return
 	}
-	if len(q.shards) == 0 {
-		refuse(req.Query, model.RefusedInvalid, "unknown shard", out)
+	if q.req.Kind == model.KindSubmit {
+		t.submitCallerGone(q, now, out)
 		return
 	}
-	q.deadline = now.Add(cmp.Or(req.Budget, route.Timeout) - AnswerReserve)
-	t.queries[req.Query] = q
-	t.send(q, now, out)
+	t.cancelOutstanding(q, out)
+	coverage := q.coverage(q.chooseSnapshot())
+	t.refuse(q, &model.Refusal{
+		Code:     model.RefusedLowCoverage,
+		Step:     stepGather,
+		Reason:   "the caller disconnected",
+		Coverage: &coverage,
+	}, now, out)
 }
 
-func (t *Table) send(q *query, now model.Time, out *effect.List) {
-	q.retryAt = min(now.Add(RetryBackoff), q.deadline)
-	for _, s := range q.shards {
-		key := model.ShardKey{Route: q.req.Route, Version: q.version, Shard: s}
-		owner, ok := t.view.Owners[key]
-		if q.done[s] || !ok {
+// Replies takes in replies of an owner.
+func (t *Table) Replies(ev event.SubRepliesReceived, now model.Time, out *effect.List) {
+	var touched []*query
+	for i := range ev.Replies {
+		r := &ev.Replies[i]
+		q, shard := t.match(ev.From, r, out)
+		if q == nil {
 			continue
 		}
-		out.Add(effect.SendSubRequests{To: owner.VM, Requests: []model.SubRequest{{
-			Query: q.req.Query, Run: 1, Entry: t.view.Self, Key: key, Kind: q.req.Kind, Owner: owner,
-			Snapshot: q.req.Snapshot, Epoch: 1, Budget: q.deadline.Sub(now), Dedupe: q.req.Key,
-			Limit: q.req.Limit, Repeat: q.req.Repeat, Payload: q.req.Payload,
-		}}})
+		q.ranges[shard].observe(r, q.pin)
+		touched = appendOnce(touched, q)
+		if q.req.Kind == model.KindSubmit {
+			t.submitReply(q, r, now, out)
+			continue
+		}
+		t.gather(q, shard, r, now, out)
 	}
+	t.advanceAll(touched, now, out)
 }
 
-// CallerGone ends a query whose caller has disconnected.
-func (t *Table) CallerGone(ev event.CallerGone, now model.Time, out *effect.List) {}
+// match returns the query and the index of the shard that a reply belongs to. A reply that
+// nothing waits for is counted and dropped.
+func (t *Table) match(from model.VM, r *model.SubReply, out *effect.List) (*query, int) {
+	q, ok := t.queries[r.Query]
+	if !ok {
+		count(out, CountLateReplies, 1)
+		return nil, 0
+	}
+	if r.Run != q.run {
+		count(out, CountOldRunReplies, 1)
+		return nil, 0
+	}
+	i, ok := q.find(r.Key)
+	if !ok || q.shards[i].peer.VM != from {
+		count(out, CountForeignReplies, 1)
+		return nil, 0
+	}
+	if !q.shards[i].accepts(r.Outcome) {
+		count(out, CountDuplicateReplies, 1)
+		return nil, 0
+	}
+	return q, i
+}
 
-// Replies takes in replies of an owner.
-func (t *Table) Replies(ev event.SubRepliesReceived, now model.Time, out *effect.List) {
-	for _, r := range ev.Replies {
+// SendFailed takes back sub-requests that could not be delivered.
+func (t *Table) SendFailed(ev event.SendFailed, now model.Time, out *effect.List) {
+	var touched []*query
+	for i := range ev.Requests {
+		r := &ev.Requests[i]
 		q, ok := t.queries[r.Query]
-		if !ok || r.Outcome != model.OutcomeOK {
+		if !ok || r.Run != q.run {
 			continue
 		}
-		q.done[r.Key.Shard] = true
-		q.hits = append(q.hits, r.Hits...)
-		q.snapshot = r.Snapshot
-		if len(q.done) == len(q.shards) {
-			t.finish(q, out)
+		shard, ok := q.find(r.Key)
+		if !ok || !q.shards[shard].outstandingAt(ev.To) {
+			continue
+		}
+		touched = appendOnce(touched, q)
+		switch {
+		case q.req.Kind == model.KindSubmit:
+			t.submitSendFailed(q, ev.Sent, now, out)
+		case ev.Sent:
+			t.retryLost(q, shard, now, out)
+		default:
+			t.resendNotRun(q, shard, model.Owner{}, now, out)
 		}
 	}
+	t.advanceAll(touched, now, out)
 }
 
-func (t *Table) finish(q *query, out *effect.List) {
-	delete(t.queries, q.req.Query)
-	coverage := model.Coverage{Wanted: len(q.shards), Answered: len(q.done)}
-	for _, s := range q.shards {
-		if !q.done[s] {
-			coverage.Missing = append(coverage.Missing, model.MissingShard{Shard: s, Reason: model.MissingTimeout})
+// PeerLost ends the wait for replies of a peer whose connection broke.
+func (t *Table) PeerLost(ev event.PeerLost, now model.Time, out *effect.List) {
+	for _, q := range t.sorted() {
+		if q.req.Kind == model.KindSubmit {
+			t.submitPeerLost(q, ev.VM, now, out)
+			continue
+		}
+		for i := range q.shards {
+			if q.shards[i].outstandingAt(ev.VM) {
+				t.retryLost(q, i, now, out)
+			}
 		}
+		t.advance(q, now, out)
 	}
-	if len(q.done) == 0 {
-		refuse(q.req.Query, model.RefusedNotRun, "no reply", out)
+}
+
+// Wake handles deadlines that have passed.
+func (t *Table) Wake(now model.Time, out *effect.List) {
+	for _, q := range t.timers.due(now) {
+		t.wake(q, now, out)
+	}
+}
+
+func (t *Table) wake(q *query, now model.Time, out *effect.List) {
+	if q.req.Kind == model.KindSubmit {
+		t.submitWake(q, now, out)
+		return
+	}
+	if now >= q.deadline {
+		t.conclude(q, now, out)
 		return
 	}
-	slices.SortStableFunc(q.hits, func(a, b model.Hit) int { return cmp.Compare(b.Score, a.Score) })
-	out.Add(effect.ReplyCaller{Query: q.req.Query, Answer: &model.Answer{
-		Query: q.req.Query, Hits: q.hits, Coverage: coverage, Version: q.version, Snapshot: q.snapshot,
-	}})
+	t.retryDue(q, now)
+	t.advance(q, now, out)
 }
 
-func refuse(id model.QueryID, code model.RefusalCode, reason string, out *effect.List) {
-	out.Add(effect.ReplyCaller{Query: id, Refusal: &model.Refusal{Code: code, Step: "query", Reason: reason}})
+// NextWake returns the earliest time at which Wake has work to do.
+func (t *Table) NextWake() model.Time { return t.timers.next() }
+
+// Running returns the number of running queries.
+func (t *Table) Running() int { return len(t.queries) }
+
+func (t *Table) advanceAll(queries []*query, now model.Time, out *effect.List) {
+	for _, q := range queries {
+		t.advance(q, now, out)
+	}
 }
 
-// SendFailed takes back sub-requests that could not be delivered.
-func (t *Table) SendFailed(ev event.SendFailed, now model.Time, out *effect.List) {}
+// advance does what the state of a query allows: restart, send, or answer. Else it sets the
+// query's timer.
+func (t *Table) advance(q *query, now model.Time, out *effect.List) {
+	if q.ended {
+		return
+	}
+	if q.req.Kind == model.KindSubmit {
+		t.submitAdvance(q, now, out)
+		return
+	}
+	t.maybeRestart(q, now, out)
+	t.sendReady(q, now, out)
+	if q.pending == 0 {
+		t.conclude(q, now, out)
+		return
+	}
+	t.timers.set(q, q.nextWake(now))
+}
 
-// PeerLost ends the wait for replies of a peer whose connection broke.
-func (t *Table) PeerLost(ev event.PeerLost, now model.Time, out *effect.List) {}
+// end replies to the caller and forgets the query.
+func (t *Table) end(q *query, reply effect.ReplyCaller, out *effect.List) {
+	q.ended = true
+	delete(t.queries, q.req.Query)
+	t.timers.remove(q)
+	out.Add(reply)
+}
 
-// Wake handles deadlines that have passed.
-func (t *Table) Wake(now model.Time, out *effect.List) {
-	var ids []model.QueryID
-	for id := range t.queries {
-		ids = append(ids, id)
+func (t *Table) refuse(q *query, refusal *model.Refusal, now model.Time, out *effect.List) {
+	if refusal.Code != model.RefusedInvalid {
+		t.record(q, true, now)
 	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		q := t.queries[id]
-		switch {
-		case now >= q.deadline:
-			t.finish(q, out)
-		case now >= q.retryAt:
-			t.send(q, now, out)
-		}
+	t.end(q, effect.ReplyCaller{Query: q.req.Query, Refusal: refusal}, out)
+}
+
+func (t *Table) answer(q *query, answer *model.Answer, now model.Time, out *effect.List) {
+	t.record(q, countsAsFailed(answer.Coverage), now)
+	t.end(q, effect.ReplyCaller{Query: q.req.Query, Answer: answer}, out)
+}
+
+// record reports the end of a query to the running move of its route.
+func (t *Table) record(q *query, failed bool, now model.Time) {
+	if q.move == "" {
+		return
 	}
+	t.outcomes.Record(moves.Outcome{
+		Route:   q.req.Route,
+		Move:    q.move,
+		New:     q.moved,
+		Failed:  failed,
+		Latency: now.Sub(q.received),
+	}, now)
 }
 
-// NextWake returns the earliest time at which Wake has work to do.
-func (t *Table) NextWake() model.Time {
-	at := model.Never
+// sorted returns the running queries by ID, so that effects do not depend on map order.
+func (t *Table) sorted() []*query {
+	queries := make([]*query, 0, len(t.queries))
 	for _, q := range t.queries {
-		at = min(at, q.retryAt, q.deadline)
+		queries = append(queries, q)
 	}
-	return at
+	slices.SortFunc(queries, func(a, b *query) int { return cmp.Compare(a.req.Query, b.req.Query) })
+	return queries
 }
 
-// Running returns the number of running queries.
-func (t *Table) Running() int { return len(t.queries) }
+func appendOnce(queries []*query, q *query) []*query {
+	if slices.Contains(queries, q) {
+		return queries
+	}
+	return append(queries, q)
+}
+
+func count(out *effect.List, name string, n int64) {
+	out.Add(effect.Count{Name: name, Add: n})
+}
