--- a/core/query/bench_test.go
+++ b/core/query/bench_test.go
@@ -9,8 +9,8 @@
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
-// BenchmarkQuery measures a whole search with 10 hits per shard, cut to 20, whose replies come
-// in one message per owner.
+// BenchmarkQuery measures a whole search with 10 sorted hits per shard, cut to 20, whose
+// replies come in one message per owner.
 func BenchmarkQuery(b *testing.B) {
 	for _, shards := range []int{20, 60} {
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
@@ -18,7 +18,7 @@
 			hits := make([][]model.Hit, shards)
 			for i := range hits {
 				for j := range 10 {
-					hits[i] = append(hits[i], model.Hit{Document: fmt.Sprintf("doc-%d-%d", i, j), Score: float64(i*j%97) / (1 + float64(j))})
+					hits[i] = append(hits[i], model.Hit{Document: fmt.Sprintf("doc-%d-%d", i, j), Score: 10/float64(1+j) + float64(i%7)})
 				}
 			}
 			replies := make([]model.SubReply, 0, shards)
--- a/core/query/gather.go
+++ b/core/query/gather.go
@@ -233,55 +233,6 @@
 	return n
 }
 
-// merge returns the hits of one snapshot by score, each document once.
-func (q *query) merge(snapshot model.Snapshot) []model.Hit {
-	total := 0
-	for i := range q.shards {
-		if q.shards[i].answers(snapshot) {
-			total += len(q.shards[i].hits)
-		}
-	}
-	if total == 0 {
-		return nil
-	}
-	hits := make([]model.Hit, 0, total)
-	for i := range q.shards {
-		if q.shards[i].answers(snapshot) {
-			hits = append(hits, q.shards[i].hits...)
-		}
-	}
-	slices.SortStableFunc(hits, compareHits)
-	return cut(hits, q.req.Limit)
-}
-
-// compareHits orders by score, the highest first, then by document.
-func compareHits(a, b model.Hit) int {
-	if c := cmp.Compare(b.Score, a.Score); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.Document, b.Document)
-}
-
-// cut removes repeated documents in place and returns at most limit hits, or all for 0.
-func cut(hits []model.Hit, limit int) []model.Hit {
-	if limit == 0 || limit > len(hits) {
-		limit = len(hits)
-	}
-	seen := make(map[string]struct{}, limit)
-	kept := hits[:0]
-	for _, h := range hits {
-		if len(kept) == limit {
-			break
-		}
-		if _, ok := seen[h.Document]; ok {
-			continue
-		}
-		seen[h.Document] = struct{}{}
-		kept = append(kept, h)
-	}
-	return kept
-}
-
 // cancelOutstanding withdraws what has been sent and not answered, in one message per owner.
 func (t *Table) cancelOutstanding(q *query, out *effect.List) {
 	var messages []effect.SendCancels
--- a/core/query/plan.go
+++ b/core/query/plan.go
@@ -196,7 +196,7 @@
 		return
 	}
 	q.hasReady = false
-	var messages []effect.SendSubRequests
+	messages := q.readyMessages()
 	for i := range q.shards {
 		s := &q.shards[i]
 		if s.state != shardReady {
@@ -204,18 +204,41 @@
 		}
 		s.state = shardSent
 		m := slices.IndexFunc(messages, func(m effect.SendSubRequests) bool { return m.To == s.peer.VM })
-		if m < 0 {
-			m = len(messages)
-			messages = append(messages, effect.SendSubRequests{To: s.peer.VM})
-		}
 		messages[m].Requests = append(messages[m].Requests, t.subRequest(q, i, now))
 	}
-	slices.SortFunc(messages, func(a, b effect.SendSubRequests) int { return cmp.Compare(a.To, b.To) })
 	for _, m := range messages {
 		out.Add(m)
 	}
 }
 
+// readyMessages returns one message per owner of a ready shard, sorted by owner, with room for
+// its sub-requests.
+func (q *query) readyMessages() []effect.SendSubRequests {
+	type group struct {
+		to   model.VM
+		size int
+	}
+	var groups []group
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.state != shardReady {
+			continue
+		}
+		g := slices.IndexFunc(groups, func(g group) bool { return g.to == s.peer.VM })
+		if g < 0 {
+			g = len(groups)
+			groups = append(groups, group{to: s.peer.VM})
+		}
+		groups[g].size++
+	}
+	slices.SortFunc(groups, func(a, b group) int { return cmp.Compare(a.to, b.to) })
+	messages := make([]effect.SendSubRequests, len(groups))
+	for i, g := range groups {
+		messages[i] = effect.SendSubRequests{To: g.to, Requests: make([]model.SubRequest, 0, g.size)}
+	}
+	return messages
+}
+
 func (t *Table) subRequest(q *query, shard int, now model.Time) model.SubRequest {
 	r := model.SubRequest{
 		Query:    q.req.Query,
