Let a template say how long a cold start lasts

Cause: in a trial with the demo's searchers the owner raised a cold server's limit after 8 completions, while the server bore only one attempt until its 20th. It fell over, failed everything for half a second, and the whole route collapsed to coverage below the floor at 200 requests a second.

A ramp by completions alone was ruled out: nothing observed tells how long a cold start lasts before the server is overrun. The bound has to come with the number of completions for which it holds; the default of 50 costs a loaded server well under a second.

--- a/internal/vtime/deployment.go
+++ b/internal/vtime/deployment.go
@@ -27,8 +27,8 @@
 
 // Haugland is the deployment in vestland.
 func Haugland() Deployment {
-	search := model.Limits{Slots: 3, Connections: 30, ConnectCost: 6 * time.Millisecond, ColdSlots: 1}
-	single := model.Limits{Slots: 2, Connections: 100, ConnectCost: time.Millisecond, ColdSlots: 1}
+	search := model.Limits{Slots: 3, Connections: 30, ConnectCost: 6 * time.Millisecond, ColdSlots: 1, WarmAfter: 50}
+	single := model.Limits{Slots: 2, Connections: 100, ConnectCost: time.Millisecond, ColdSlots: 1, WarmAfter: 50}
 	return Deployment{
 		Customer:  "haugland",
 		Zones:     []model.AvailabilityZone{"vestland-a", "vestland-b", "vestland-c", "vestland-d"},
@@ -44,8 +44,8 @@
 
 // Taproom is the deployment in Dublin.
 func Taproom() Deployment {
-	search := model.Limits{Slots: 2, Connections: 25, ConnectCost: 6 * time.Millisecond, ColdSlots: 1}
-	single := model.Limits{Slots: 4, Connections: 45, ConnectCost: time.Millisecond, ColdSlots: 1}
+	search := model.Limits{Slots: 2, Connections: 25, ConnectCost: 6 * time.Millisecond, ColdSlots: 1, WarmAfter: 50}
+	single := model.Limits{Slots: 4, Connections: 45, ConnectCost: time.Millisecond, ColdSlots: 1, WarmAfter: 50}
 	return Deployment{
 		Customer:  "taproom",
 		Zones:     []model.AvailabilityZone{"dublin-a", "dublin-b", "dublin-c", "dublin-d"},
--- a/model/template.go
+++ b/model/template.go
@@ -46,6 +46,7 @@
 	Connections int           // connections that the server accepts in all
 	ConnectCost time.Duration // time to open a new connection
 	ColdSlots   int           // attempts that may run at once on a server in cold start
+	WarmAfter   int           // completed attempts after which a cold server may be ramped up
 }
 
 // ShardConfig lists the replicas of one shard.
--- a/template/template.go
+++ b/template/template.go
@@ -19,12 +19,16 @@
 	DefaultHedgePercentile = 0.95
 	DefaultHedgeBudget     = 0.03
 	DefaultColdSlots       = 1
+	DefaultWarmAfter       = 50
 	DefaultClass           = "default"
 )
 
 // maxSize is the largest value that the platform's store holds, in bytes.
 const maxSize = 1 << 20
 
+// maxWarmAfter bounds the completions that end a cold start.
+const maxWarmAfter = 100000
+
 // Bounds of durations.
 const (
 	minTimeout = time.Millisecond
@@ -68,6 +72,7 @@
 	Connections int                 `json:"connections"`
 	ConnectCost strictjson.Duration `json:"connectCost"`
 	ColdSlots   int                 `json:"coldSlots"`
+	WarmAfter   int                 `json:"warmAfter"`
 }
 
 type shard struct {
@@ -271,6 +276,13 @@
 		Connections: l.Connections,
 		ConnectCost: time.Duration(l.ConnectCost),
 		ColdSlots:   l.ColdSlots,
+		WarmAfter:   l.WarmAfter,
+	}
+	if out.WarmAfter == 0 {
+		out.WarmAfter = DefaultWarmAfter
+	}
+	if out.WarmAfter < 0 || out.WarmAfter > maxWarmAfter {
+		return out, c.doc.Fault(fmt.Sprintf("must be from 1 to %d", maxWarmAfter), "routes", i, "versions", j, "limits", "warmAfter")
 	}
 	if out.ColdSlots == 0 {
 		out.ColdSlots = DefaultColdSlots
