--- a/core/control.go
+++ b/core/control.go
@@ -43,7 +43,7 @@
 		Fence:             cfg.Fence,
 		Grace:             cfg.Grace,
 	}, now)
-	cache := config.New(config.Config{Self: cfg.Self, WriteTimeout: cfg.WriteTimeout})
+	cache := config.New(config.Config{Self: cfg.Self, Boot: cfg.Boot, WriteTimeout: cfg.WriteTimeout})
 	return &Control{
 		cfg:        cfg,
 		rng:        rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Boot))),
--- a/core/zones/zones.go
+++ b/core/zones/zones.go
@@ -2,6 +2,7 @@
 package zones
 
 import (
+	"strings"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/config"
@@ -10,11 +11,47 @@
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
+// Key names the object that holds the state of a zone.
+func Key(zone model.AvailabilityZone) model.ObjectKey {
+	return model.ObjectKey{Kind: model.ObjectZone, Name: string(zone)}
+}
+
 // Out returns the zones that operators have taken out.
 func Out(c *config.Cache) map[model.AvailabilityZone]bool {
-	return nil
+	out := make(map[model.AvailabilityZone]bool)
+	for _, o := range c.All(model.ObjectZone) {
+		if o.Zone.Out {
+			out[model.AvailabilityZone(o.Key.Name)] = true
+		}
+	}
+	return out
 }
 
-// Command carries out an operator's SetZone.
+// Command carries out an operator's SetZone. Only taking a zone out may act without the
+// store; bringing one back adds load and waits for the store's word.
 func Command(c *config.Cache, id uint64, by string, cmd event.SetZone, wall time.Time, now model.Time, out *effect.List) {
+	if strings.TrimSpace(string(cmd.Zone)) == "" {
+		out.Add(effect.ReplyOperator{Command: id, Result: effect.CommandResult{
+			Code:    effect.CommandInvalid,
+			Message: "the availability zone is empty",
+		}})
+		return
+	}
+	key := Key(cmd.Zone)
+	current, _ := c.Get(key)
+	obj := model.Object{
+		Key: key,
+		Zone: &model.ZoneState{
+			Zone:   cmd.Zone,
+			Out:    cmd.Out,
+			Reason: cmd.Reason,
+			By:     by,
+			At:     wall,
+		},
+	}
+	if cmd.Out {
+		c.WriteRestriction(id, obj, current.Version, now, out)
+		return
+	}
+	c.Write(id, obj, current.Version, now, out)
 }
--- a/model/object.go
+++ b/model/object.go
@@ -9,11 +9,14 @@
 const (
 	ObjectTemplate   ObjectKind = "templates"  // one per customer
 	ObjectZone       ObjectKind = "zones"      // one per availability zone
-	ObjectAutomation ObjectKind = "automation" // one, named "global"
+	ObjectAutomation ObjectKind = "automation" // one, named AutomationName
 	ObjectMove       ObjectKind = "moves"      // one per move
 	ObjectRoster     ObjectKind = "rosters"    // one per ownership group
 )
 
+// AutomationName is the name of the one object of kind ObjectAutomation.
+const AutomationName = "global"
+
 // ObjectKey names one object.
 type ObjectKey struct {
 	Kind ObjectKind
@@ -26,10 +29,15 @@
 // Object is one versioned configuration object. Version is the store's revision
 // at its last write, unique over all objects and only rising. Exactly one of the
 // pointers is set, by Key.Kind, unless Deleted is set.
+//
+// Write and Base are part of what the store keeps. They tell a writer whose answer was
+// lost whether its write took effect, even after another write has replaced the content.
 type Object struct {
 	Key        ObjectKey
 	Version    uint64
 	Deleted    bool
+	Write      WriteID // the write that stored this version; zero if no daemon wrote it
+	Base       uint64  // version that the write replaced, 0 if it created the object
 	Template   *Template
 	Zone       *ZoneState
 	Automation *AutomationState
@@ -37,6 +45,13 @@
 	Roster     *Roster
 }
 
+// WriteID identifies one conditional write. Repeats of the write carry the same ID.
+type WriteID struct {
+	VM     VM
+	Boot   Boot
+	Number uint64
+}
+
 // ZoneState says whether operators have taken an availability zone out.
 type ZoneState struct {
 	Zone   AvailabilityZone
