core/config: cache by version, pull from peers, read back lost writes

Cause: the polling cache reverts objects, answers untruly after a lost response, does nothing during an outage, and its load on the store grows with the group.

Two live VMs hold a watch; the others pull from one peer that is ahead, from the revision up to which their cache is complete. An object is replaced only by a higher version. The digest is a sum of hashes kept up to date at each merge. Zone-out and pause become overrides while the store cannot be reached; the creator writes them back, the others only after a delay by rank.

- Answering "store unavailable" when a read-back finds the old version: the lost write can still take effect afterwards.
The write is sent again with the same ID instead; only a definite answer to a later attempt settles it.
- Answering "conflict" whenever another version is found: the lost write may be a version in between.
Object.Base tells; if it does not, the answer is "outcome unknown".
- Ordering overrides by clock and VM only: a higher base proves that a newer version exists and that the override below it is void.
- Passing on peers' evidence that the store is up: it would never grow old.
- Waiting for the watch after an outage: a repeated watch is silent until an object changes, so a watcher whose watch has failed reads one object a second.

What is not covered: a watch that hangs without failing on both watchers at once.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -1,8 +1,14 @@
 // Package config caches the objects of the platform's store, spreads them between
 // daemons, and carries out conditional writes.
+//
+// A read of one object that does not exist arrives as a deleted object with version 0,
+// and a read of one object has revision 0 in event.ObjectsReceived, because it says
+// nothing about other objects.
 package config
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
@@ -11,128 +17,207 @@
 )
 
 const (
-	pollInterval = time.Second
-	storeMemory  = 3 * time.Second // how long one success counts as evidence that the store is up
+	// watcherCount is the number of VMs of a group that hold a watch: one spare keeps
+	// changes flowing while the other fails over.
+	watcherCount = 2
+	// watchDelay is how long a VM must be a watcher, or no watcher, before it opens or
+	// closes its watch. It spans several heartbeats, so that a VM that has just started and
+	// knows no peer, or misses a heartbeat, opens no third watch.
+	watchDelay = 500 * time.Millisecond
+	// storeMemory is how long one success counts as evidence that the store is up.
+	storeMemory = 3 * time.Second
+	// probeInterval is the pause between reads by a watcher whose watch has failed. A
+	// repeated watch stays silent until an object changes, so it does not show by itself
+	// that the store is back.
+	probeInterval = time.Second
 )
 
 // Config identifies this VM and bounds waiting for the store.
 type Config struct {
 	Self         model.VM
-	Boot         model.Boot
+	Boot         model.Boot    // keeps write IDs of different starts of a VM apart
 	WriteTimeout time.Duration // after which a command that only restricts becomes an override
 }
 
-// write is a write whose answer has not arrived.
-type write struct {
-	command uint64
-	object  model.Object
-}
-
-// Cache is the configuration state of one VM. Every VM polls the store; the last state
-// received and the last write win.
+// Cache is the configuration state of one VM.
 type Cache struct {
 	cfg      Config
 	objects  objectSet
-	complete uint64
-	polled   model.Time
-	polling  bool
-	reached  model.Time
-	ok       bool
-	writes   map[uint64]write
-	number   uint64
+	complete uint64 // every object up to this revision is known; objects of own writes can be newer
+
+	watcher      bool // the role that the last tick asked for
+	watcherSince model.Time
+	watching     bool
+	watchFailed  bool
+	nextProbe    model.Time
+	storeOK      bool
+	storeOKAt    model.Time
+	up           bool // StoreUp at the last tick
+	upSince      model.Time
+	tickAt       model.Time
+
+	peers       map[model.VM]*peer
+	pulling     *peer // peer of the pull that is under way, nil for none
+	pullEnds    model.Time
+	behind      bool
+	behindSince model.Time
+
+	writes     []*write // under way, in the order of their start
+	lastNumber uint64
+
+	overrides []*override // sorted by key
+	clock     uint64
 }
 
 // New returns an empty cache.
 func New(cfg Config) *Cache {
-	return &Cache{cfg: cfg, objects: newObjectSet(), writes: make(map[uint64]write)}
+	return &Cache{
+		cfg:     cfg,
+		objects: newObjectSet(),
+		peers:   make(map[model.VM]*peer),
+	}
 }
 
-// Received takes over objects from the store or a peer and reports whether anything changed.
+// Received merges objects from the store or a peer and reports whether anything changed.
 func (c *Cache) Received(ev event.ObjectsReceived, now model.Time, out *effect.List) bool {
-	c.ok, c.reached = true, now
+	if ev.FromStore {
+		c.storeReached(now)
+	}
+	before := c.complete
+	changed := false
 	for i := range ev.Objects {
-		c.objects.put(&ev.Objects[i])
+		if c.accept(&ev.Objects[i], ev.FromStore, now, out) {
+			changed = true
+		}
 	}
 	c.complete = max(c.complete, ev.Revision)
-	return len(ev.Objects) > 0
+	if !ev.FromStore {
+		c.pullDone(ev.Peer, changed || c.complete > before)
+	}
+	c.pull(now, out)
+	return changed
 }
 
-// StoreFailed notes that the store could not be read.
-func (c *Cache) StoreFailed(ev event.StoreFailed, now model.Time, out *effect.List) { c.ok = false }
-
-// PullFailed does nothing: no peer is asked.
-func (c *Cache) PullFailed(ev event.PullFailed, now model.Time, out *effect.List) {}
+// accept merges one object and lets a write of it that is under way draw its conclusions.
+func (c *Cache) accept(o *model.Object, fromStore bool, now model.Time, out *effect.List) bool {
+	changed := c.merge(o, out)
+	if w := c.writeOf(o.Key); w != nil {
+		c.observe(w, o, fromStore, now, out)
+	}
+	return changed
+}
 
-// WriteDone answers the operator. A lost answer counts as a failure, and a write that lost a
-// race is repeated on top of the winner.
-func (c *Cache) WriteDone(ev event.WriteDone, now model.Time, out *effect.List) bool {
-	w, ok := c.writes[ev.Write]
-	if !ok {
+// merge replaces the cached object if o is newer, and drops the overrides that o makes void.
+func (c *Cache) merge(o *model.Object, out *effect.List) bool {
+	if o.Version == 0 || o.Version <= c.objects.version(o.Key) {
 		return false
 	}
-	delete(c.writes, ev.Write)
-	switch ev.Outcome {
-	case event.WriteOK:
-		c.objects.put(&ev.Object)
-		c.reply(w.command, effect.CommandOK, out)
-		return true
-	case event.WriteConflict:
-		c.Write(w.command, w.object, ev.Object.Version, now, out)
-	default:
-		c.reply(w.command, effect.CommandUnavailable, out)
+	if !wellFormed(o) {
+		out.Add(effect.Log{
+			Level:   effect.Error,
+			Message: "object has no content of its kind and is ignored",
+			Step:    "merge object",
+			Fields:  []effect.Field{{Key: "object", Value: o.Key.String()}},
+		})
+		return false
 	}
-	return false
+	c.objects.put(o)
+	c.dropVoid(o, out)
+	return true
 }
 
-func (c *Cache) reply(command uint64, code effect.CommandCode, out *effect.List) {
-	if command != 0 {
-		out.Add(effect.ReplyOperator{Command: command, Result: effect.CommandResult{Code: code}})
-	}
+// StoreFailed notes that the store could not be read.
+func (c *Cache) StoreFailed(ev event.StoreFailed, now model.Time, out *effect.List) {
+	c.storeLost(now)
 }
 
-// Heartbeat does nothing: daemons learn from the store only.
-func (c *Cache) Heartbeat(hb *event.Heartbeat, now model.Time, out *effect.List) bool { return false }
+func (c *Cache) storeReached(now model.Time) {
+	c.storeOK = true
+	c.storeOKAt = now
+	c.watchFailed = false
+}
 
-// Tick polls the store.
-func (c *Cache) Tick(live []model.VM, now model.Time, out *effect.List) bool {
-	if c.polling && now.Sub(c.polled) < pollInterval {
-		return false
+func (c *Cache) storeLost(now model.Time) {
+	c.storeOK = false
+	if c.watching && !c.watchFailed {
+		c.watchFailed = true
+		c.nextProbe = now.Add(probeInterval)
 	}
-	c.polling, c.polled = true, now
-	out.Add(effect.WatchStore{Since: c.complete})
-	return false
 }
 
-// Fill sets the fields of a heartbeat that the cache owns.
-func (c *Cache) Fill(hb *event.Heartbeat) {
-	hb.Digest = c.Digest()
-	hb.Revision = c.Revision()
+// Tick opens or closes the watch (only watchers hold one) and retries what is due. It
+// reports whether the configuration changed.
+func (c *Cache) Tick(live []model.VM, now model.Time, out *effect.List) bool {
+	c.tickAt = now
+	c.updateWatch(live, now, out)
+	c.expirePull(now, out)
+	c.forgetPeers(now)
+	changed := c.advanceWrites(now, out)
+	c.noteStoreUp(now)
+	c.writeBack(live, now, out)
+	return changed
 }
 
-// Write starts a write. command is the operator's command to answer when it is done, or 0.
-func (c *Cache) Write(command uint64, obj model.Object, ifVersion uint64, now model.Time, out *effect.List) {
-	c.number++
-	c.writes[c.number] = write{command: command, object: obj}
-	out.Add(effect.WriteObject{Write: c.number, Object: obj, IfVersion: ifVersion})
+func (c *Cache) updateWatch(live []model.VM, now model.Time, out *effect.List) {
+	watcher := rankIn(live, c.cfg.Self) < watcherCount
+	if watcher != c.watcher {
+		c.watcher = watcher
+		c.watcherSince = now
+	}
+	if c.watcher != c.watching && now.Sub(c.watcherSince) >= watchDelay {
+		c.setWatching(c.watcher, out)
+	}
+	if c.watching && c.watchFailed && now >= c.nextProbe {
+		c.nextProbe = now.Add(probeInterval)
+		out.Add(effect.ReadObject{Key: model.ObjectKey{
+			Kind: model.ObjectAutomation,
+			Name: model.AutomationName,
+		}})
+	}
 }
 
-// WriteRestriction is Write: nothing acts without the store.
-func (c *Cache) WriteRestriction(command uint64, obj model.Object, ifVersion uint64, now model.Time, out *effect.List) {
-	c.Write(command, obj, ifVersion, now, out)
+func (c *Cache) setWatching(watching bool, out *effect.List) {
+	c.watching = watching
+	c.watchFailed = false
+	if watching {
+		out.Add(effect.WatchStore{Since: c.complete})
+		return
+	}
+	out.Add(effect.StopWatch{})
 }
 
-// Pending reports whether a write of the object is under way.
-func (c *Cache) Pending(key model.ObjectKey) bool {
-	for _, w := range c.writes {
-		if w.object.Key == key {
-			return true
+// rankIn returns the number of VMs in live that precede vm by name.
+func rankIn(live []model.VM, vm model.VM) int {
+	rank := 0
+	for _, v := range live {
+		if v < vm {
+			rank++
 		}
 	}
-	return false
+	return rank
+}
+
+func (c *Cache) noteStoreUp(now model.Time) {
+	up := c.StoreUp(now)
+	if up && !c.up {
+		c.upSince = now
+	}
+	c.up = up
 }
 
-// Get returns the object in force.
+// Fill sets the fields of a heartbeat that the cache owns.
+func (c *Cache) Fill(hb *event.Heartbeat) {
+	hb.Digest = c.Digest()
+	hb.Revision = c.Revision()
+	hb.Overrides = c.Overrides()
+	hb.StoreUp = c.reachesStore(c.tickAt)
+}
+
+// Get returns the object in force, overrides included. A deleted object is not found.
 func (c *Cache) Get(key model.ObjectKey) (model.Object, bool) {
+	if o := c.overrideOf(key); o != nil {
+		return o.object(), true
+	}
 	o := c.objects.get(key)
 	if o == nil || o.Deleted {
 		return model.Object{}, false
@@ -144,27 +229,61 @@
 func (c *Cache) All(kind model.ObjectKind) []model.Object {
 	var all []model.Object
 	for _, o := range c.objects.ofKind(kind) {
-		if !o.Deleted && wellFormed(o) {
+		if !o.Deleted && c.overrideOf(o.Key) == nil {
 			all = append(all, *o)
 		}
 	}
+	overridden := false
+	for _, o := range c.overrides {
+		if o.Key.Kind == kind {
+			all = append(all, o.object())
+			overridden = true
+		}
+	}
+	if overridden {
+		slices.SortFunc(all, func(a, b model.Object) int {
+			return strings.Compare(a.Key.Name, b.Key.Name)
+		})
+	}
 	return all
 }
 
 // Newer returns the objects with a version above since, for a peer that pulls, and the
-// revision up to which they are complete.
+// revision up to which they are complete. They are in the order of their versions.
 func (c *Cache) Newer(since uint64) ([]model.Object, uint64) {
 	return c.objects.newer(since), c.complete
 }
 
-// Overrides returns nothing: there are none.
-func (c *Cache) Overrides() []event.Override { return nil }
-
-// Digest identifies the set of objects in force.
-func (c *Cache) Digest() uint64 { return c.objects.digest }
+// Digest identifies the set of objects in force, overrides included.
+func (c *Cache) Digest() uint64 {
+	d := c.objects.digest
+	for _, o := range c.overrides {
+		d += o.hash()
+	}
+	return d
+}
 
 // Revision returns the highest object version in force.
 func (c *Cache) Revision() uint64 { return c.objects.revision }
 
-// StoreUp reports whether this VM has reached the store in the last seconds.
-func (c *Cache) StoreUp(now model.Time) bool { return c.ok && now.Sub(c.reached) <= storeMemory }
+// StoreUp reports whether this VM or a live peer has reached the store in the last seconds.
+func (c *Cache) StoreUp(now model.Time) bool {
+	if c.reachesStore(now) {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.storeUp && now.Sub(p.storeUpAt) <= storeMemory {
+			return true
+		}
+	}
+	return false
+}
+
+// reachesStore reports whether this VM itself reaches the store. Heartbeats carry only
+// this, since evidence passed on from peer to peer would never grow old.
+func (c *Cache) reachesStore(now model.Time) bool {
+	if c.watching && !c.watchFailed {
+		return true
+	}
+	return c.storeOK && now.Sub(c.storeOKAt) <= storeMemory
+}
--- a/core/config/objects.go
+++ b/core/config/objects.go
@@ -37,6 +37,14 @@
 	return s.kinds[key.Kind][i]
 }
 
+// version returns the version of the object with the key, or 0.
+func (s *objectSet) version(key model.ObjectKey) uint64 {
+	if o := s.get(key); o != nil {
+		return o.Version
+	}
+	return 0
+}
+
 // put stores a copy of o in place of the object with the same key.
 func (s *objectSet) put(o *model.Object) {
 	kept := *o
