--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,616 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gooseberrylock/gooseberrylock/core/admission"
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+const ms = time.Millisecond
+
+// scenario is one case of a table: run returns what is compared with want.
+type scenario struct {
+	name string
+	run  func(h *harness) string
+	want string
+}
+
+func runScenarios(t *testing.T, table []scenario) {
+	t.Helper()
+	for _, c := range table {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(newView(2))
+			got := c.run(h)
+			if len(h.faults.count) > 0 {
+				t.Error(h.faults.String())
+			}
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
+
+// sendOne sends one changed search and returns its query.
+func (h *harness) sendOne(change func(*model.SubRequest)) model.QueryID {
+	s := h.sub(0)
+	if change != nil {
+		change(&s)
+	}
+	h.send(s)
+	return s.Query
+}
+
+func (h *harness) sendMany(n int, change func(*model.SubRequest)) []model.QueryID {
+	var all []model.QueryID
+	for range n {
+		all = append(all, h.sendOne(change))
+	}
+	return all
+}
+
+func submit(key string) func(*model.SubRequest) {
+	return func(s *model.SubRequest) { s.Kind, s.Dedupe = model.KindSubmit, key }
+}
+
+func repeat(key string) func(*model.SubRequest) {
+	return func(s *model.SubRequest) { submit(key)(s); s.Repeat = true }
+}
+
+// lastOf returns the last attempt of a query.
+func (h *harness) lastOf(q model.QueryID) effect.StartAttempt {
+	for _, e := range slices.Backward(h.started) {
+		if e.Query == q {
+			return e
+		}
+	}
+	return effect.StartAttempt{}
+}
+
+func (h *harness) endLast(q model.QueryID, outcome model.OutcomeCode) {
+	h.done(h.lastOf(q).Attempt, model.AttemptResult{Outcome: outcome, Boot: 1})
+}
+
+// serve runs n searches one after the other, each for d, without wake-ups in between.
+func (h *harness) serve(n int, d time.Duration) {
+	for range n {
+		q := h.sendOne(nil)
+		h.now = h.now.Add(d)
+		h.endLast(q, model.OutcomeOK)
+	}
+}
+
+// loads returns "inflight/limit" of the two replicas of key 0.
+func (h *harness) loads() string {
+	var parts []string
+	for _, l := range h.owner.Load(h.now) {
+		if l.Key == keyOf(0) {
+			parts = append(parts, fmt.Sprintf("%d/%d", l.InFlight, l.Limit))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+// reply1 returns the first reply to a query, or none.
+func (h *harness) reply1(q model.QueryID) model.SubReply {
+	if t := h.subs[q]; len(t.replies) > 0 {
+		return t.replies[0]
+	}
+	return model.SubReply{}
+}
+
+func (h *harness) outcomes(qs ...model.QueryID) string {
+	var parts []string
+	for _, q := range qs {
+		parts = append(parts, h.outcome(q))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (h *harness) setLease(l model.Lease) {
+	h.setView(changeView(h.view, func(v *model.View, _ *model.VersionConfig) { v.Leases[keyOf(0)] = l }))
+}
+
+func (h *harness) setZone(z model.AvailabilityZone, out bool) {
+	h.setView(changeView(h.view, func(v *model.View, _ *model.VersionConfig) { v.Config.ZonesOut[z] = out }))
+}
+
+// TestOwnership guards dispatch without a lease, for another boot or for another map.
+func TestOwnership(t *testing.T) {
+	runScenarios(t, []scenario{
+		{"no lease", func(h *harness) string {
+			return h.outcome(h.sendOne(func(s *model.SubRequest) { s.Key = keyOf(9) }))
+		}, "not owner"},
+		{"other boot", func(h *harness) string {
+			return h.outcome(h.sendOne(func(s *model.SubRequest) { s.Owner.Boot++ }))
+		}, "not owner"},
+		{"other VM", func(h *harness) string {
+			q := h.sendOne(func(s *model.SubRequest) { s.Owner.VM = "vm-z" })
+			return h.outcome(q) + " " + string(h.reply1(q).Owner.VM)
+		}, "not owner vm-a"},
+		{"other epoch", func(h *harness) string {
+			return h.outcome(h.sendOne(func(s *model.SubRequest) { s.Epoch++ }))
+		}, "epoch changed"},
+		{"epoch changes in queue", func(h *harness) string {
+			qs := h.sendMany(7, nil)
+			h.setView(changeView(h.view, func(_ *model.View, c *model.VersionConfig) { c.Epoch++ }))
+			h.endLast(qs[0], model.OutcomeOK)
+			return h.outcomes(qs[0], qs[6])
+		}, "ok, epoch changed"},
+		{"budget used up", func(h *harness) string {
+			return h.outcome(h.sendOne(func(s *model.SubRequest) { s.Budget = 0 }))
+		}, "expired"},
+		{"lease ends by the clock", func(h *harness) string {
+			h.setLease(model.Lease{Until: h.now.Add(50 * ms), Term: 1, Clean: true})
+			qs := h.sendMany(7, nil)
+			h.advance(60 * ms)
+			late := h.sendOne(nil)
+			h.endLast(qs[0], model.OutcomeOK)
+			return h.outcomes(qs[0], qs[6], late)
+		}, "ok, not owner, not owner"},
+		{"view without lease", func(h *harness) string {
+			qs := h.sendMany(7, nil)
+			h.setView(changeView(h.view, func(v *model.View, _ *model.VersionConfig) { delete(v.Leases, keyOf(0)) }))
+			return h.outcomes(qs[6])
+		}, "not owner"},
+	})
+}
+
+// TestSlots guards the bound on attempts in flight over hand-over, cancellation and view
+// changes.
+func TestSlots(t *testing.T) {
+	runScenarios(t, []scenario{
+		{"spread over replicas, never above the slots", func(h *harness) string {
+			h.sendMany(9, nil)
+			return h.loads()
+		}, "3/3 3/3"},
+		{"connections below slots", func(h *harness) string {
+			h.setView(changeView(h.view, func(_ *model.View, c *model.VersionConfig) { c.Limits.Connections = 2 }))
+			h.sendMany(9, nil)
+			return h.loads()
+		}, "2/2 2/2"},
+		{"attempts of the previous owner occupy slots until their time", func(h *harness) string {
+			until := h.now.Add(20 * ms)
+			h.setLease(model.Lease{Until: model.Never, Term: 2, Clean: true, Running: []model.RunningAttempt{
+				{Server: serverOf(0, 0), Until: until}, {Server: serverOf(0, 0), Until: until},
+			}})
+			h.sendMany(9, nil)
+			before := len(h.started)
+			h.advance(20 * ms)
+			return fmt.Sprint(before, " ", len(h.started))
+		}, "4 6"},
+		{"a cancelled attempt occupies its slot until it is done", func(h *harness) string {
+			qs := h.sendMany(7, nil)
+			h.cancel(qs[0])
+			before := h.loads()
+			h.endLast(qs[0], model.OutcomeCancelled)
+			return fmt.Sprint(before, " ", h.lastOf(qs[6]).Attempt, " ", len(h.subs[qs[0]].replies))
+		}, "3/3 3/3 7 0"},
+		{"a doubled end frees one slot", func(h *harness) string {
+			qs := h.sendMany(8, nil)
+			id := h.lastOf(qs[0]).Attempt
+			h.done(id, model.AttemptResult{Outcome: model.OutcomeOK})
+			h.done(id, model.AttemptResult{Outcome: model.OutcomeOK})
+			return h.loads()
+		}, "3/3 3/3"},
+		{"a leaving server gets nothing", func(h *harness) string {
+			h.setView(changeView(h.view, func(_ *model.View, c *model.VersionConfig) {
+				c.Shards = slices.Clone(c.Shards)
+				c.Shards[0].Replicas = slices.Clone(c.Shards[0].Replicas)
+				c.Shards[0].Replicas[0].Leaving = true
+			}))
+			h.sendMany(9, nil)
+			return h.loads()
+		}, "0/3 3/3"},
+		{"zones that are not allowed get nothing", func(h *harness) string {
+			h.setView(changeView(h.view, func(v *model.View, _ *model.VersionConfig) {
+				v.Config.Templates["haugland"].AllowedZones = []model.AvailabilityZone{zoneB}
+			}))
+			h.sendMany(9, nil)
+			return h.loads()
+		}, "0/3 3/3"},
+		{"no usable replica", func(h *harness) string {
+			qs := h.sendMany(7, nil)
+			h.setZone(zoneA, true)
+			h.setZone(zoneB, true)
+			return h.outcomes(qs[6], h.sendOne(nil))
+		}, "no server, no server"},
+	})
+}
+
+// TestColdStart guards cold servers against more load than their bound.
+func TestColdStart(t *testing.T) {
+	end := func(outcome model.OutcomeCode, boot model.Boot) func(h *harness) string {
+		return func(h *harness) string {
+			h.serve(8, 8*ms)
+			q := h.sendOne(nil)
+			h.done(h.lastOf(q).Attempt, model.AttemptResult{Outcome: outcome, Boot: boot})
+			return h.loads()
+		}
+	}
+	runScenarios(t, []scenario{
+		{"gained without release", func(h *harness) string {
+			h.setLease(model.Lease{Until: model.Never, Term: 2})
+			h.sendMany(9, nil)
+			return h.loads()
+		}, "1/1 1/1"},
+		{"released", func(h *harness) string {
+			h.setLease(model.Lease{Until: model.Never, Term: 2, Clean: true})
+			return h.loads()
+		}, "0/3 0/3"},
+		{"one more slot after eight completions", func(h *harness) string {
+			h.setZone(zoneB, true)
+			h.setLease(model.Lease{Until: model.Never, Term: 2})
+			h.serve(7, 8*ms)
+			seven := h.loads()
+			h.serve(1, 8*ms)
+			eight := h.loads()
+			h.serve(8, 8*ms)
+			return strings.Join([]string{seven, eight, h.loads()}, ", ")
+		}, "0/1 0/1, 0/2 0/1, 0/3 0/1"},
+		{"new boot", end(model.OutcomeOK, 2), "0/1 0/3"},
+		{"connection refused", end(model.OutcomeLost, 0), "0/1 0/3"},
+		{"failure keeps the limit", end(model.OutcomeFailed, 1), "0/3 0/3"},
+		{"shed lowers the limit by one", func(h *harness) string {
+			h.setZone(zoneB, true)
+			h.endLast(h.sendOne(nil), model.OutcomeShed)
+			first := h.loads()
+			h.serve(40, ms)
+			held := h.loads()
+			h.advance(time.Second)
+			h.serve(8, ms)
+			return strings.Join([]string{first, held, h.loads()}, ", ")
+		}, "0/2 0/3, 0/2 0/3, 0/3 0/3"},
+		{"a burst of sheds counts once", func(h *harness) string {
+			h.setZone(zoneB, true)
+			for _, q := range h.sendMany(3, nil) {
+				h.advance(ms)
+				h.endLast(q, model.OutcomeShed)
+			}
+			return h.loads()
+		}, "0/2 0/3"},
+		{"sheds down to nothing for the hold", func(h *harness) string {
+			h.setZone(zoneB, true)
+			for range 3 {
+				q := h.sendOne(nil)
+				h.advance(ms)
+				h.endLast(q, model.OutcomeShed)
+			}
+			held := h.loads()
+			q := h.sendOne(func(s *model.SubRequest) { s.Budget = 2 * time.Second })
+			h.advance(time.Second)
+			return held + ", " + h.loads() + ", " + fmt.Sprint(h.lastOf(q).Attempt)
+		}, "0/0 0/3, 1/1 0/3, 4"},
+		{"latency step", func(h *harness) string {
+			h.setZone(zoneB, true)
+			h.serve(400, 8*ms)
+			h.serve(4, 80*ms)
+			stragglers := h.loads()
+			h.serve(1, 80*ms)
+			return stragglers + ", " + h.loads()
+		}, "0/3 0/3, 0/1 0/3"},
+		{"zone that comes back", func(h *harness) string {
+			h.setZone(zoneA, true)
+			h.setZone(zoneA, false)
+			return h.loads()
+		}, "0/1 0/3"},
+		{"replica that is added", func(h *harness) string {
+			h.setView(changeView(h.view, func(_ *model.View, c *model.VersionConfig) {
+				c.Shards = slices.Clone(c.Shards)
+				extra := model.BackendServer{ID: "s0000-2", Zone: zoneA}
+				c.Shards[0].Replicas = append(slices.Clone(c.Shards[0].Replicas), extra)
+			}))
+			return h.loads()
+		}, "0/3 0/3 0/1"},
+	})
+}
+
+// TestColdServersStandUp guards a takeover under full load: servers that fall over above
+// their cold-start bound must come up.
+func TestColdServersStandUp(t *testing.T) {
+	is := is.New(t)
+	v := newView(1)
+	v.Leases[keyOf(0)] = model.Lease{Until: model.Never, Term: 1}
+	h := newHarness(v)
+	f := newFleet(h, rand.New(rand.NewPCG(3, 3)))
+	answered := 0
+	for range 2000 {
+		h.sendOne(func(s *model.SubRequest) { s.Budget = 200 * ms })
+		f.run(2 * ms)
+	}
+	finish(f)
+	for _, tr := range h.subs {
+		if len(tr.replies) == 1 && tr.replies[0].Outcome == model.OutcomeOK {
+			answered++
+		}
+	}
+	t.Logf("falls %d, answered %d of 2000, most in flight %d, counts %v", f.falls, answered, h.peak, h.counts)
+	is.Equal(f.falls, 0)
+	is.True(answered > 1900)
+	is.Equal(len(h.faults.count), 0)
+}
+
+// TestQueue guards the order of the queue and that the lowest class is refused first.
+func TestQueue(t *testing.T) {
+	class := func(c model.Class, budget time.Duration) func(*model.SubRequest) {
+		return func(s *model.SubRequest) { s.Class, s.Budget = c, budget }
+	}
+	runScenarios(t, []scenario{
+		{"class, then deadline", func(h *harness) string {
+			full := h.sendMany(6, nil)
+			low := h.sendOne(class(1, 100*ms))
+			late := h.sendOne(class(0, 900*ms))
+			soon := h.sendOne(class(0, 300*ms))
+			for _, q := range full[:3] {
+				h.endLast(q, model.OutcomeOK)
+			}
+			return fmt.Sprint(h.lastOf(soon).Attempt, h.lastOf(late).Attempt, h.lastOf(low).Attempt)
+		}, "7 8 9"},
+		{"deadline passes in queue", func(h *harness) string {
+			h.sendMany(6, nil)
+			q := h.sendOne(class(0, 30*ms))
+			h.advance(30 * ms)
+			return h.outcome(q)
+		}, "expired"},
+		{"estimated wait too long", func(h *harness) string {
+			h.serve(40, 12*ms)
+			h.sendMany(6, nil)
+			low := h.sendMany(10, class(1, 20*ms)) // 12 ms on 6 slots: 2 ms each
+			high := h.sendMany(3, class(0, 20*ms))
+			return h.outcomes(low[6], low[7], low[9]) + fmt.Sprint(" ", len(h.subs[high[2]].replies))
+		}, "0 replies, shed, shed 0"},
+		{"queue full", func(h *harness) string {
+			h.sendMany(6, nil)
+			low := h.sendMany(admission.MaxQueue, class(1, time.Second))
+			high := h.sendOne(class(0, time.Second))
+			return h.outcomes(low[0], low[admission.MaxQueue-1], high)
+		}, "0 replies, shed, 0 replies"},
+		{"attempt timeout", func(h *harness) string {
+			short := h.sendOne(class(0, 90*ms))
+			long := h.sendOne(class(0, 900*ms))
+			return fmt.Sprint(h.lastOf(short).Timeout, h.lastOf(long).Timeout)
+		}, "90ms 400ms"},
+		{"peer lost", func(h *harness) string {
+			qs := h.sendMany(7, nil)
+			lost(h, "vm-b")
+			for _, q := range qs[:6] {
+				h.endLast(q, model.OutcomeCancelled)
+			}
+			return fmt.Sprint(len(h.cancels), len(h.started), h.owner.Idle())
+		}, "6 6 true"},
+	})
+}
+
+// TestHedges guards the conditions and the budget of hedges and retries.
+func TestHedges(t *testing.T) {
+	const warmUp = 100 // earns three extra attempts
+	runScenarios(t, []scenario{
+		{"hedge after the measured percentile, loser cancelled", func(h *harness) string {
+			h.serve(warmUp, 10*ms)
+			q := h.sendOne(nil)
+			first := h.lastOf(q)
+			h.advance(9 * ms)
+			before := h.lastOf(q).Hedge
+			h.advance(1 * ms)
+			h.endLast(q, model.OutcomeOK)
+			reply := h.reply1(q)
+			return fmt.Sprint(before, h.lastOf(q).Hedge, first.Server.ID != h.lastOf(q).Server.ID,
+				slices.Equal(h.cancels, []model.AttemptID{first.Attempt}), reply.Attempts, " ", h.loads())
+		}, "false true true true 2 1/3 0/3"},
+		{"no hedge while requests wait", func(h *harness) string {
+			h.serve(warmUp, 10*ms)
+			h.sendMany(7, nil)
+			h.advance(50 * ms)
+			return fmt.Sprint(h.counts[admission.CountHedges])
+		}, "0"},
+		{"no hedge of a submit", func(h *harness) string {
+			h.serve(warmUp, 10*ms)
+			h.sendOne(submit("a"))
+			h.advance(50 * ms)
+			return fmt.Sprint(h.counts[admission.CountHedges])
+		}, "0"},
+		{"no hedge without another replica", func(h *harness) string {
+			h.serve(warmUp, 10*ms)
+			h.setZone(zoneA, true)
+			h.sendOne(nil)
+			h.advance(50 * ms)
+			return fmt.Sprint(h.counts[admission.CountHedges])
+		}, "0"},
+		{"hedge fails, first attempt succeeds", func(h *harness) string {
+			h.serve(warmUp, 10*ms)
+			q := h.sendOne(nil)
+			first := h.lastOf(q).Attempt
+			h.advance(20 * ms)
+			h.endLast(q, model.OutcomeFailed)
+			h.done(first, model.AttemptResult{Outcome: model.OutcomeOK})
+			return h.outcome(q)
+		}, "ok"},
+		{"retries stop with the budget", func(h *harness) string {
+			h.serve(warmUp, 10*ms)
+			for range 20 {
+				q := h.sendOne(nil)
+				h.advance(ms)
+				h.endLast(q, model.OutcomeFailed)
+				if h.outcome(q) == "0 replies" {
+					h.endLast(q, model.OutcomeOK)
+				}
+			}
+			return fmt.Sprint(h.counts[admission.CountRetries])
+		}, "3"},
+		{"snapshot gone on one replica", func(h *harness) string {
+			h.serve(warmUp, 10*ms)
+			q := h.sendOne(nil)
+			h.endLast(q, model.OutcomeSnapshotGone)
+			h.endLast(q, model.OutcomeOK)
+			return h.outcome(q)
+		}, "ok"},
+		{"a failed attempt outweighs a later refusal", func(h *harness) string {
+			h.serve(warmUp, 10*ms)
+			q := h.sendOne(nil)
+			h.endLast(q, model.OutcomeFailed)
+			h.endLast(q, model.OutcomeShed)
+			return h.outcome(q)
+		}, "failed"},
+		{"refused connection goes to the other replica once", func(h *harness) string {
+			q := h.sendOne(nil)
+			h.endLast(q, model.OutcomeRefusedConnection)
+			h.endLast(q, model.OutcomeRefusedConnection)
+			return fmt.Sprint(h.outcome(q), " ", h.reply1(q).Attempts)
+		}, "connection refused 2"},
+	})
+}
+
+// TestSubmits guards that a submit runs at most once and that refusals of it are true.
+func TestSubmits(t *testing.T) {
+	ends := func(outcome, second model.OutcomeCode) func(h *harness) string {
+		return func(h *harness) string {
+			q := h.sendOne(submit("a"))
+			h.endLast(q, outcome)
+			if h.outcome(q) == "0 replies" {
+				h.endLast(q, second)
+			}
+			return h.outcomes(q, h.sendOne(repeat("a")))
+		}
+	}
+	runScenarios(t, []scenario{
+		{"timeout is not sent again", ends(model.OutcomeTimeout, 0), "timeout, duplicate"},
+		{"lost is not sent again", ends(model.OutcomeLost, 0), "lost, duplicate"},
+		{"failed is not sent again", ends(model.OutcomeFailed, 0), "failed, duplicate"},
+		{"refused, then lost", ends(model.OutcomeRefusedConnection, model.OutcomeLost), "lost, duplicate"},
+		{"shed twice may be repeated", ends(model.OutcomeShed, model.OutcomeShed), "shed, 0 replies"},
+		{"duplicate at the server", ends(model.OutcomeDuplicate, 0), "duplicate, duplicate"},
+		{"seen by this owner, while it runs", func(h *harness) string {
+			q := h.sendOne(submit("a"))
+			return h.outcomes(q, h.sendOne(submit("a")))
+		}, "0 replies, duplicate"},
+		{"doubled message", func(h *harness) string {
+			s := h.sub(0)
+			submit("a")(&s)
+			h.send(s, s)
+			h.send(s)
+			return fmt.Sprint(len(h.started), " ", h.outcome(s.Query))
+		}, "1 0 replies"},
+		{"doubled message without idempotency key", func(h *harness) string {
+			s := h.sub(0)
+			submit("")(&s)
+			h.send(s)
+			h.endLast(s.Query, model.OutcomeOK)
+			h.send(s)
+			return fmt.Sprint(len(h.started))
+		}, "1"},
+		{"seen by the previous owner", func(h *harness) string {
+			h.setLease(model.Lease{Until: model.Never, Term: 2, Clean: true, Submits: []model.SeenSubmit{
+				{Dedupe: "ran", Seen: h.now}, {Dedupe: "refused", Seen: h.now, NotRun: true},
+			}})
+			return h.outcomes(h.sendOne(submit("ran")), h.sendOne(repeat("refused")))
+		}, "duplicate, 0 replies"},
+		{"repeat of an unknown key", func(h *harness) string {
+			early := h.sendOne(repeat("a"))
+			h.advance(admission.SubmitMemory)
+			return h.outcomes(early, h.sendOne(repeat("a")))
+		}, "lost, 0 replies"},
+		{"forgotten after ten minutes", func(h *harness) string {
+			h.endLast(h.sendOne(submit("a")), model.OutcomeOK)
+			h.advance(admission.SubmitMemory - ms)
+			early := h.sendOne(submit("a"))
+			h.advance(ms)
+			return h.outcomes(early, h.sendOne(submit("a")))
+		}, "duplicate, 0 replies"},
+		{"queued during a pause", func(h *harness) string {
+			h.sendMany(6, nil)
+			q := h.sendOne(submit("a"))
+			h.now = h.now.Add(admission.PauseBound + ms)
+			h.advance(0)
+			return h.outcomes(q, h.sendOne(repeat("a")))
+		}, "expired, 0 replies"},
+		{"queued on a quiet worker", func(h *harness) string {
+			h.sendMany(6, nil)
+			q := h.sendOne(submit("a"))
+			h.advance(admission.PauseBound + 100*ms)
+			return h.outcome(q)
+		}, "0 replies"},
+		{"cancel while queued", func(h *harness) string {
+			h.sendMany(6, nil)
+			q := h.sendOne(submit("a"))
+			h.cancel(q)
+			return h.outcomes(q, h.sendOne(repeat("a")))
+		}, "0 replies, 0 replies"},
+		{"cancel while running", func(h *harness) string {
+			q := h.sendOne(submit("a"))
+			h.cancel(q)
+			h.endLast(q, model.OutcomeOK)
+			return fmt.Sprint(h.outcome(q), " ", len(h.cancels))
+		}, "ok 0"},
+	})
+}
+
+// TestDrain guards the hand-over: nothing starts after it, and the report is complete.
+func TestDrain(t *testing.T) {
+	runScenarios(t, []scenario{
+		{"reports running attempts and submits", func(h *harness) string {
+			done := h.sendOne(submit("done"))
+			h.endLast(done, model.OutcomeOK)
+			run := h.sendOne(submit("run"))
+			h.advance(100 * ms)
+			searches := h.sendMany(5, nil)
+			wait := h.sendOne(submit("wait"))
+			h.drain(0)
+			d := h.drained[0]
+			h.endLast(run, model.OutcomeOK)
+			if len(d.Running) == 0 {
+				return "nothing running"
+			}
+			return fmt.Sprint(len(d.Running), d.Running[0].Left, d.Submits,
+				h.outcomes(wait, run, searches[0], h.sendOne(nil)))
+		}, "6 300ms [{done 100ms false} {run 100ms false} {wait 0s true}]not owner, ok, 0 replies, not owner"},
+		{"slots of a cold server stay withheld", func(h *harness) string {
+			h.setLease(model.Lease{Until: model.Never, Term: 2})
+			h.drain(0)
+			return fmt.Sprint(len(h.drained[0].Running))
+		}, "4"},
+		{"a new term serves again", func(h *harness) string {
+			h.drain(0)
+			h.setLease(model.Lease{Until: model.Never, Term: 2, Clean: true})
+			return h.outcome(h.sendOne(nil))
+		}, "0 replies"},
+		{"no retry after it", func(h *harness) string {
+			q := h.sendOne(nil)
+			h.drain(0)
+			h.endLast(q, model.OutcomeShed)
+			return h.outcome(q)
+		}, "shed"},
+		{"unknown key", func(h *harness) string {
+			h.drain(9)
+			return fmt.Sprint(h.drained[0].Key.Shard, " ", len(h.drained[0].Running))
+		}, "s0009 0"},
+	})
+}
+
+// TestRepliesAreBatched guards the message rate: one event sends one message to an entry.
+func TestRepliesAreBatched(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(newView(2))
+	h.sendMany(6, nil)
+	h.sendMany(5, func(s *model.SubRequest) { s.Entry = "vm-c" })
+	h.sendMany(5, nil)
+	var out effect.List
+	h.owner.View(&model.View{Self: self, Boot: selfBoot}, h.now, &out)
+	var sizes []string
+	for _, e := range out.Take() {
+		if r, ok := e.(effect.SendSubReplies); ok {
+			sizes = append(sizes, fmt.Sprint(r.To, " ", len(r.Replies)))
+		}
+	}
+	is.Equal(sizes, []string{"vm-c 5", "vm-b 5"})
+	out.Take()
+	h.owner.Cancels(event.CancelsReceived{Entry: "vm-x"}, h.now, &out)
+	is.Equal(len(out.Take()), 0)
+}
