Hold the cold-start bound for the template's number of completions

Cause: the ramp began after 8 completions at the cold-start bound whatever the template said, and a server that fell over kept its boot, so nothing returned it to cold.

Failures in a row now count as a fall: two in the ramp, eight on a warm server. One failure was ruled out, since a bad version fails one attempt in five.

--- a/core/admission/server.go
+++ b/core/admission/server.go
@@ -31,6 +31,10 @@
 	// failureStreak failures in a row take a replica out for recentFailure while another
 	// one is healthy. A server that fails fast would otherwise draw load by being idle.
 	failureStreak = 3
+	// coldStreak failures in a row return a replica to cold: a server that was overrun in
+	// cold start fails everything without a new boot. In the ramp fewer are enough.
+	coldStreak     = 8
+	coldRampStreak = 2
 )
 
 // server is the state of one backend server.
@@ -40,6 +44,7 @@
 
 	slots     int // hard bound: the lower of slots and connections
 	coldBound int
+	warmAfter int // successes at the cold-start bound before the ramp
 	limit     int // 0 only while a hold lasts
 	successes int // at the current limit
 	holdUntil model.Time
@@ -95,6 +100,7 @@
 func (s *server) setLimits(l model.Limits) {
 	s.slots = max(0, min(l.Slots, l.Connections))
 	s.coldBound = min(max(1, l.ColdSlots), s.slots)
+	s.warmAfter = max(l.WarmAfter, RampCompletions)
 	s.limit = min(s.limit, s.slots) // added slots are not proven yet
 }
 
@@ -134,6 +140,10 @@
 		s.fail(now)
 	case model.OutcomeFailed:
 		s.fail(now)
+		if s.overrun() {
+			s.toCold(now)
+			return true, false
+		}
 	case model.OutcomeTimeout:
 		if slow {
 			s.fail(now)
@@ -188,12 +198,28 @@
 		return
 	}
 	s.successes++
-	if s.successes >= RampCompletions {
+	if s.successes >= s.proof(limit) {
 		s.limit = limit + 1
 		s.successes = 0
 	}
 }
 
+// proof returns the number of successes that raise a limit.
+func (s *server) proof(limit int) int {
+	if limit <= s.coldBound {
+		return s.warmAfter
+	}
+	return RampCompletions
+}
+
+// overrun reports whether failures in a row look like a server that fell over in cold start.
+func (s *server) overrun() bool {
+	if s.limit >= s.slots {
+		return s.streak >= coldStreak && s.streak%coldStreak == 0
+	}
+	return s.streak >= coldRampStreak && s.limit > s.coldBound
+}
+
 // observeLatency reports whether the latency has stepped up. An attempt that was cut off
 // gives a lower bound only, so it counts if it is above the average.
 func (s *server) observeLatency(a *attempt, outcome model.OutcomeCode, now model.Time) bool {
