Implement the owner side: queue, slots, cold start, hedges, submits, drain

Cause: the version before had no bound and repeated submits.

Owner keeps one queue per shard key, ordered by class and deadline, and a slot count per backend server that includes cancelled attempts until they are reported done and those of the previous owner until their time.

What is still unnoticed is a hedge while the queue holds only retries for a busy replica.

Ruled out: - Every shed reply of a burst lowering the limit. Three attempts shed at once would stop a server with three slots for a second, so replies to attempts from before the last reduction count once. - A latency step by plain averages. Samples are clipped at 8 times the long-term latency, so that it takes five slow ones in close succession. - A release that carries no limits, taken as it is. The successor of a clean release would fill a server that is still cold, so slots that are not proven are reported as occupied, one more free each second.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -217,6 +217,34 @@
 			h.sendMany(9, nil)
 			return h.loads()
 		}, "0/3 3/3"},
+		{"a replica that just failed comes last", func(h *harness) string {
+			h.endLast(h.sendOne(nil), model.OutcomeFailed)
+			h.sendMany(3, nil)
+			return h.loads()
+		}, "0/3 3/3"},
+		{"a replica that keeps failing waits", func(h *harness) string {
+			h.setZone(zoneB, true)
+			for range 3 {
+				h.endLast(h.sendOne(nil), model.OutcomeFailed)
+			}
+			h.setZone(zoneB, false)
+			h.sendMany(3, nil)
+			before := h.loads()
+			h.advance(250 * ms)
+			return before + ", " + h.loads()
+		}, "0/3 1/1, 2/3 1/1"},
+		{"a doubled search runs once", func(h *harness) string {
+			s := h.sub(0)
+			h.send(s, s)
+			return h.loads()
+		}, "1/3 0/3"},
+		{"a retry whose last replica goes away", func(h *harness) string {
+			qs := h.sendMany(6, nil)
+			h.endLast(qs[0], model.OutcomeShed)
+			waits := h.outcome(qs[0])
+			h.setZone(zoneB, true)
+			return waits + ", " + h.outcome(qs[0])
+		}, "0 replies, shed"},
 		{"no usable replica", func(h *harness) string {
 			qs := h.sendMany(7, nil)
 			h.setZone(zoneA, true)
@@ -257,6 +285,25 @@
 			return strings.Join([]string{seven, eight, h.loads()}, ", ")
 		}, "0/1 0/1, 0/2 0/1, 0/3 0/1"},
 		{"new boot", end(model.OutcomeOK, 2), "0/1 0/3"},
+		{"late reply of the old boot", func(h *harness) string {
+			h.setZone(zoneB, true)
+			qs := h.sendMany(3, nil)
+			h.done(h.lastOf(qs[0]).Attempt, model.AttemptResult{Boot: 1})
+			h.done(h.lastOf(qs[1]).Attempt, model.AttemptResult{Boot: 2})
+			h.done(h.lastOf(qs[2]).Attempt, model.AttemptResult{Boot: 1})
+			q := h.sendOne(nil)
+			h.done(h.lastOf(q).Attempt, model.AttemptResult{Boot: 2})
+			return fmt.Sprint(h.loads(), " ", h.counts[admission.CountColdStarts])
+		}, "0/1 0/3 1"},
+		{"completions of attempts before a restart prove nothing", func(h *harness) string {
+			h.setZone(zoneB, true)
+			qs := h.sendMany(3, nil)
+			h.endLast(qs[0], model.OutcomeLost)
+			h.endLast(qs[1], model.OutcomeOK)
+			h.endLast(qs[2], model.OutcomeOK)
+			h.serve(7, 8*ms)
+			return h.loads()
+		}, "0/1 0/3"},
 		{"connection refused", end(model.OutcomeLost, 0), "0/1 0/3"},
 		{"failure keeps the limit", end(model.OutcomeFailed, 1), "0/3 0/3"},
 		{"shed lowers the limit by one", func(h *harness) string {
@@ -459,6 +506,19 @@
 			h.endLast(q, model.OutcomeShed)
 			return h.outcome(q)
 		}, "failed"},
+		{"a shed after a failure costs budget", func(h *harness) string {
+			h.setView(changeView(h.view, func(_ *model.View, c *model.VersionConfig) {
+				c.Shards = slices.Clone(c.Shards)
+				extra := model.BackendServer{ID: "s0000-2", Zone: zoneA}
+				c.Shards[0].Replicas = append(slices.Clone(c.Shards[0].Replicas), extra)
+			}))
+			h.serve(warmUp, 10*ms)
+			q := h.sendOne(nil)
+			h.endLast(q, model.OutcomeFailed)
+			h.endLast(q, model.OutcomeShed)
+			h.endLast(q, model.OutcomeOK)
+			return fmt.Sprint(h.outcome(q), " ", h.counts[admission.CountRetries], h.counts[admission.CountResends])
+		}, "ok 2 0"},
 		{"refused connection goes to the other replica once", func(h *harness) string {
 			q := h.sendOne(nil)
 			h.endLast(q, model.OutcomeRefusedConnection)
@@ -512,6 +572,13 @@
 			}})
 			return h.outcomes(h.sendOne(submit("ran")), h.sendOne(repeat("refused")))
 		}, "duplicate, 0 replies"},
+		{"seen to run here, refused by the previous owner", func(h *harness) string {
+			h.endLast(h.sendOne(submit("a")), model.OutcomeOK)
+			h.setLease(model.Lease{Until: model.Never, Term: 2, Clean: true, Submits: []model.SeenSubmit{
+				{Dedupe: "a", Seen: h.now, NotRun: true},
+			}})
+			return h.outcome(h.sendOne(repeat("a")))
+		}, "duplicate"},
 		{"repeat of an unknown key", func(h *harness) string {
 			early := h.sendOne(repeat("a"))
 			h.advance(admission.SubmitMemory)
--- /dev/null
+++ b/core/admission/bench_test.go
@@ -0,0 +1,63 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/admission"
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// BenchmarkRequest measures a sub-request from receipt to reply: two events and the timer.
+func BenchmarkRequest(b *testing.B) {
+	for _, keys := range []int{8, 64, 1000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			o := admission.New()
+			now := model.Time(time.Second)
+			var out effect.List
+			o.View(newView(keys), now, &out)
+			out.Take()
+			sub := model.SubRequest{
+				Entry: "vm-b", Epoch: epoch, Budget: time.Second,
+				Owner: model.Owner{VM: self, Boot: selfBoot},
+			}
+			ids := make([]model.ShardKey, keys)
+			for i := range ids {
+				ids[i] = keyOf(i)
+			}
+			attempt := model.AttemptID(0) // one attempt a request: each ends before it is due for a hedge
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				sub.Query++
+				sub.Key = ids[i%keys]
+				o.Requests(event.SubRequestsReceived{Requests: []model.SubRequest{sub}}, now, &out)
+				now = now.Add(100 * time.Microsecond)
+				attempt++
+				o.AttemptDone(event.AttemptDone{Attempt: attempt}, now, &out)
+				for o.NextWake() <= now {
+					o.Wake(now, &out)
+				}
+				out.Take()
+			}
+		})
+	}
+}
+
+// BenchmarkView measures a view that only renews the leases.
+func BenchmarkView(b *testing.B) {
+	for _, keys := range []int{8, 64, 1000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			o := admission.New()
+			v := newView(keys)
+			now := model.Time(time.Second)
+			var out effect.List
+			for b.Loop() {
+				o.View(v, now, &out)
+				out.Take()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,253 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// MaxQueue bounds the requests that wait for one shard key. 6 slots at 8 ms serve 750
+// requests a second, so a longer queue would outlast the usual deadlines.
+const MaxQueue = 1024
+
+// requestID identifies a sub-request within a shard key.
+type requestID struct {
+	entry model.VM
+	query model.QueryID
+	run   uint32
+}
+
+// request is one sub-request from receipt to reply.
+type request struct {
+	sub      model.SubRequest
+	key      *shardKey
+	sequence uint64
+	received model.Time
+	deadline model.Time
+	queued   bool
+	done     bool // answered or withdrawn
+
+	attempts []*attempt              // in flight
+	started  int                     // attempts started so far
+	tried    []model.BackendServerID // servers of all started attempts
+	retries  int
+	hedged   bool
+
+	ran     bool // an attempt ended that may have run
+	outcome model.OutcomeCode
+	reason  string
+	server  model.BackendServerID
+	oldest  model.Snapshot
+	newest  model.Snapshot
+}
+
+func (r *request) id() requestID { return requestID{r.sub.Entry, r.sub.Query, r.sub.Run} }
+
+func (r *request) triedOn(s *server) bool { return slices.Contains(r.tried, s.config.ID) }
+
+// compareRequests orders by class, then deadline, then arrival.
+func compareRequests(a, b *request) int {
+	if c := cmp.Compare(a.sub.Class, b.sub.Class); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.deadline, b.deadline); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.sequence, b.sequence)
+}
+
+// queue is a sorted list. At MaxQueue entries an insertion moves at most 8 KB.
+type queue struct{ items []*request }
+
+func (q *queue) len() int { return len(q.items) }
+
+func (q *queue) insert(r *request) {
+	i, _ := slices.BinarySearchFunc(q.items, r, compareRequests)
+	q.items = slices.Insert(q.items, i, r)
+}
+
+func (q *queue) remove(r *request) {
+	if i, ok := slices.BinarySearchFunc(q.items, r, compareRequests); ok {
+		q.items = slices.Delete(q.items, i, i+1)
+	}
+}
+
+// earliest returns the request with the earliest deadline. Within a class the first one
+// has it, so only the heads of the classes are compared.
+func (q *queue) earliest() *request {
+	var first *request
+	for i := 0; i < len(q.items); {
+		head := q.items[i]
+		if first == nil || head.deadline < first.deadline {
+			first = head
+		}
+		rest := q.items[i:]
+		i += sort.Search(len(rest), func(j int) bool { return rest[j].sub.Class > head.sub.Class })
+	}
+	return first
+}
+
+func (o *Owner) enqueue(r *request) {
+	r.queued = true
+	r.key.queue.insert(r)
+	o.queued++
+	if !r.sub.Kind.Idempotent() {
+		o.queuedSubmits++
+	}
+}
+
+func (o *Owner) dequeue(r *request) {
+	r.queued = false
+	r.key.queue.remove(r)
+	o.queued--
+	if !r.sub.Kind.Idempotent() {
+		o.queuedSubmits--
+	}
+}
+
+// admit takes in one sub-request. It returns its key if the request was queued.
+func (o *Owner) admit(sub *model.SubRequest) *shardKey {
+	k := o.keys[sub.Key]
+	if !o.isOwnerOf(sub) || k == nil || !k.serving(o.now) {
+		o.count(CountNotOwner)
+		o.reject(sub, model.OutcomeNotOwner, "key not owned")
+		return nil
+	}
+	if k.shard == nil || k.version.Epoch != sub.Epoch {
+		o.reject(sub, model.OutcomeEpochChanged, "partition map changed")
+		return nil
+	}
+	if _, doubled := k.live[requestID{sub.Entry, sub.Query, sub.Run}]; doubled {
+		return nil
+	}
+	if sub.Budget <= 0 {
+		o.count(CountExpired)
+		o.reject(sub, model.OutcomeExpired, "deadline passed on receipt")
+		return nil
+	}
+	if !sub.Kind.Idempotent() && !o.admitSubmit(k, sub) {
+		return nil
+	}
+	o.lastSequence++
+	r := &request{
+		sub:      *sub,
+		key:      k,
+		sequence: o.lastSequence,
+		received: o.now,
+		deadline: o.now.Add(sub.Budget),
+	}
+	k.live[r.id()] = r
+	o.enqueue(r)
+	return k
+}
+
+// isOwnerOf reports whether a sub-request is addressed to this VM with its current boot.
+func (o *Owner) isOwnerOf(sub *model.SubRequest) bool {
+	return o.view != nil && sub.Owner.VM == o.view.Self && sub.Owner.Boot == o.view.Boot
+}
+
+// withdraw ends a request that nobody waits for any more. A running submit goes on.
+func (o *Owner) withdraw(r *request) {
+	if len(r.attempts) > 0 && !r.sub.Kind.Idempotent() {
+		return
+	}
+	if r.queued {
+		o.dequeue(r)
+		r.key.submits.settle(r, true)
+	}
+	o.count(CountCancelled)
+	o.retire(r)
+}
+
+// expire answers queued requests whose deadline has passed.
+func (o *Owner) expire(k *shardKey) {
+	for k.queue.len() > 0 {
+		r := k.queue.earliest()
+		if r.deadline > o.now {
+			return
+		}
+		o.count(CountExpired)
+		o.refuse(r, model.OutcomeExpired, "deadline passed in queue")
+	}
+}
+
+// refuseUnservable answers queued requests if no replica is usable.
+func (o *Owner) refuseUnservable(k *shardKey) {
+	if !slices.ContainsFunc(k.servers, func(s *server) bool { return s.usable }) {
+		o.refuseQueued(k, model.OutcomeNoServer, "no usable replica")
+	}
+}
+
+// refuseStranded answers queued retries for which a change left no other replica.
+func (o *Owner) refuseStranded(k *shardKey) {
+	for _, r := range slices.Clone(k.queue.items) {
+		if r.started > 0 && !k.hasUntried(r) {
+			o.refuse(r, model.OutcomeNoServer, "no other usable replica")
+		}
+	}
+}
+
+// refuseQueued answers all queued requests of a key.
+func (o *Owner) refuseQueued(k *shardKey, outcome model.OutcomeCode, reason string) {
+	for k.queue.len() > 0 {
+		o.refuse(k.queue.items[0], outcome, reason)
+	}
+}
+
+// refuseSubmitsAfterPause refuses queued submits as not run: they must not run late.
+func (o *Owner) refuseSubmitsAfterPause() {
+	o.count(CountPauses)
+	for _, k := range o.order {
+		for _, r := range slices.Clone(k.queue.items) {
+			if !r.sub.Kind.Idempotent() {
+				o.refuse(r, model.OutcomeExpired, "owner was paused")
+			}
+		}
+		o.schedule(k)
+	}
+}
+
+// shed refuses queued requests that cannot be served in time. Since the queue is ordered
+// by class, a lower class waits longest and is refused first.
+func (o *Owner) shed(k *shardKey) {
+	capacity := k.limits(o.now)
+	unchanged := !k.recheck && capacity >= k.capacity
+	k.capacity = capacity
+	k.recheck = false
+	if k.queue.len() == 0 || unchanged {
+		return
+	}
+	for k.queue.len() > MaxQueue {
+		o.count(CountShed)
+		o.refuse(k.queue.items[k.queue.len()-1], model.OutcomeShed, "queue full")
+	}
+	if capacity == 0 || k.service.empty() {
+		return
+	}
+	perRequest := k.service.value / float64(capacity)
+	position := 0
+	for _, r := range slices.Clone(k.queue.items) {
+		wait := time.Duration(float64(position+1) * perRequest)
+		if wait <= r.deadline.Sub(o.now) {
+			position++
+			continue
+		}
+		o.count(CountShed)
+		o.refuse(r, model.OutcomeShed, "estimated wait exceeds the remaining time")
+	}
+}
+
+// nextQueueChange returns the next time at which the queue needs work without an event.
+func (o *Owner) nextQueueChange(k *shardKey) model.Time {
+	if k.queue.len() == 0 {
+		return model.Never
+	}
+	at := min(k.queue.earliest().deadline, k.lease.Until)
+	for _, s := range k.servers {
+		at = min(at, s.nextChange(o.now))
+	}
+	return at
+}
