Add a load model of the ways to bound backend servers

Cause: the choice of one owner per shard key and the hedging policy rest on scratch trials; the figures should come from the code that ships.

The model sends whole queries over 20 shards of 2 replicas from 8 entry VMs. Service times are lognormal (median 8 ms, sigma 0.5), 1% ten times slower. All variants with hedges use the same budget. (e) runs the real Owner.

Hedging policy kept: from dispatch, at the route's percentile only while the budget is nearly full, else at the one that the budget can pay for (the 97th at 3%). At the 95th, 5% of the attempts come due for 3% of tokens, and many stragglers find none.

Timing from enqueue spends tokens on requests that only waited.

--- /dev/null
+++ b/internal/loadmodel/owner.go
@@ -0,0 +1,211 @@
+package loadmodel
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/admission"
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// Policy is one way to bound the load.
+type Policy uint8
+
+// The policies compared.
+const (
+	IndependentLimits Policy = iota // each VM applies the whole limit by itself
+	DividedLimits                   // each VM applies its part of the limit, at least one
+	LearntLimits                    // each VM learns its limit from shed replies (AIMD)
+	OwnerPerServer
+	OwnerPerKeyNoHedges
+	OwnerPerKeyFromEnqueue
+	OwnerPerKeyFromDispatch
+	OwnerPerKey // the product's: from dispatch, at a percentile that the budget can pay for
+)
+
+var policyNames = [...]string{
+	"(a) independent limits", "(b) divided limits", "(c) learnt limits", "(d) owner per server",
+	"(e) owner per key, no hedges", "(e) hedges from enqueue", "(e) hedges from dispatch", "(e) hedges within budget",
+}
+
+// String returns the name used in the table.
+func (p Policy) String() string { return policyNames[p] }
+
+// Policies lists all policies.
+func Policies() []Policy {
+	return []Policy{IndependentLimits, DividedLimits, LearntLimits, OwnerPerServer,
+		OwnerPerKeyNoHedges, OwnerPerKeyFromEnqueue, OwnerPerKeyFromDispatch, OwnerPerKey}
+}
+
+// Run measures one policy.
+func Run(s Setup, p Policy) Result {
+	m := newSim(s, p == LearntLimits)
+	switch p {
+	case IndependentLimits:
+		return m.run(newPerVM(m, s.Slots, false))
+	case DividedLimits:
+		return m.run(newPerVM(m, max(1, s.Slots/s.Entries), false))
+	case LearntLimits:
+		return m.run(newPerVM(m, s.Slots, true))
+	case OwnerPerServer:
+		return m.run(newPerServer(m))
+	case OwnerPerKeyNoHedges:
+		return m.run(newPerKey(m, admission.HedgeWithinBudget, 0))
+	case OwnerPerKeyFromEnqueue:
+		return m.run(newPerKey(m, admission.HedgeFromEnqueue, admission.DefaultHedgeBudget))
+	case OwnerPerKeyFromDispatch:
+		return m.run(newPerKey(m, admission.HedgeFromDispatch, admission.DefaultHedgeBudget))
+	}
+	return m.run(newPerKey(m, admission.HedgeWithinBudget, admission.DefaultHedgeBudget))
+}
+
+// queryBudget is above any latency of the model, so that nothing is cut off.
+const queryBudget = 20 * time.Second
+
+var modelRoute = model.Route{Customer: "customer", Route: "route"}
+
+func keyOf(shard int) model.ShardKey {
+	return model.ShardKey{Route: modelRoute, Version: "v1", Shard: model.ShardID(fmt.Sprintf("%03d", shard))}
+}
+
+// perKey runs one real Owner on each VM.
+type perKey struct {
+	sim     *sim
+	owners  []*ownerVM
+	backend map[model.BackendServerID]*backend
+	shard   map[model.ShardID]int
+	waiting []func(int, bool)
+	sent    int
+}
+
+type ownerVM struct {
+	perKey *perKey
+	index  int
+	owner  *admission.Owner
+	jobs   map[model.AttemptID]*job
+	wake   model.Time
+}
+
+func newPerKey(m *sim, hedging admission.Hedging, budget float64) *perKey {
+	d := &perKey{sim: m, backend: map[model.BackendServerID]*backend{}, shard: map[model.ShardID]int{}}
+	limits := model.Limits{Slots: m.setup.Slots, Connections: m.setup.Slots, ColdSlots: 1}
+	version := model.VersionConfig{ID: "v1", Epoch: 1, Limits: limits}
+	for i, backends := range m.servers {
+		shard := model.ShardConfig{ID: keyOf(i).Shard}
+		d.shard[shard.ID] = i
+		for j, b := range backends {
+			id := model.BackendServerID(fmt.Sprintf("%03d-%d", i, j))
+			d.backend[id] = b
+			shard.Replicas = append(shard.Replicas, model.BackendServer{ID: id, Zone: "a"})
+		}
+		version.Shards = append(version.Shards, shard)
+	}
+	route := model.RouteConfig{
+		ID:              modelRoute.Route,
+		HedgePercentile: admission.DefaultHedgePercentile,
+		HedgeBudget:     budget,
+		Versions:        []model.VersionConfig{version},
+	}
+	template := &model.Template{Customer: modelRoute.Customer, Routes: []model.RouteConfig{route}}
+	config := &model.ConfigView{Templates: map[model.CustomerID]*model.Template{modelRoute.Customer: template}}
+	for i := range m.setup.Entries {
+		vm := &ownerVM{
+			perKey: d,
+			index:  i,
+			owner:  admission.NewWithHedging(hedging),
+			jobs:   map[model.AttemptID]*job{},
+			wake:   model.Never,
+		}
+		d.owners = append(d.owners, vm)
+		leases := map[model.ShardKey]model.Lease{}
+		for s := i; s < m.setup.Shards; s += m.setup.Entries {
+			leases[keyOf(s)] = model.Lease{Until: model.Never, Term: 1, Clean: true}
+		}
+		view := &model.View{Self: vm.name(), Boot: 1, Config: config, Leases: leases}
+		vm.do(func(out *effect.List) { vm.owner.View(view, m.now, out) })
+	}
+	return d
+}
+
+func (d *perKey) attempts() int { return d.sent }
+
+func (d *perKey) query(entry int, done func(int, bool)) {
+	d.waiting = append(d.waiting, done)
+	for _, vm := range d.owners {
+		var subs []model.SubRequest
+		for s := vm.index; s < d.sim.setup.Shards; s += len(d.owners) {
+			subs = append(subs, model.SubRequest{
+				Query:  model.QueryID(len(d.waiting) - 1),
+				Entry:  d.owners[entry].name(),
+				Key:    keyOf(s),
+				Epoch:  1,
+				Owner:  model.Owner{VM: vm.name(), Boot: 1},
+				Budget: queryBudget,
+			})
+		}
+		d.sim.after(d.sim.hop(entry, vm.index), func() {
+			vm.do(func(out *effect.List) {
+				vm.owner.Requests(event.SubRequestsReceived{Requests: subs}, d.sim.now, out)
+			})
+		})
+	}
+}
+
+func (vm *ownerVM) name() model.VM { return model.VM(fmt.Sprint(vm.index)) }
+
+// do feeds one event, carries out its effects and sets the timer.
+func (vm *ownerVM) do(f func(out *effect.List)) {
+	var out effect.List
+	f(&out)
+	for _, e := range out.Take() {
+		vm.apply(e)
+	}
+	m := vm.perKey.sim
+	next := vm.owner.NextWake()
+	if next == vm.wake {
+		return
+	}
+	vm.wake = next
+	if next == model.Never {
+		return
+	}
+	m.at(next, func() {
+		if vm.wake != next {
+			return
+		}
+		vm.wake = model.Never
+		vm.do(func(out *effect.List) { vm.owner.Wake(m.now, out) })
+	})
+}
+
+func (vm *ownerVM) apply(e effect.Effect) {
+	d := vm.perKey
+	switch e := e.(type) {
+	case effect.StartAttempt:
+		d.sent++
+		id := e.Attempt
+		vm.jobs[id] = d.backend[e.Server.ID].submit(func(bool) { vm.ended(id, model.OutcomeOK) })
+	case effect.CancelAttempt:
+		if vm.jobs[e.Attempt].cancel() {
+			d.sim.after(0, func() { vm.ended(e.Attempt, model.OutcomeCancelled) })
+		}
+	case effect.SendSubReplies:
+		var entry int
+		fmt.Sscan(string(e.To), &entry)
+		d.sim.after(d.sim.hop(vm.index, entry), func() {
+			for _, r := range e.Replies {
+				d.waiting[r.Query](d.shard[r.Key.Shard], r.Outcome == model.OutcomeOK)
+			}
+		})
+	}
+}
+
+func (vm *ownerVM) ended(id model.AttemptID, outcome model.OutcomeCode) {
+	delete(vm.jobs, id)
+	res := model.AttemptResult{Outcome: outcome, Boot: 1}
+	vm.do(func(out *effect.List) {
+		vm.owner.AttemptDone(event.AttemptDone{Attempt: id, Result: res}, vm.perKey.sim.now, out)
+	})
+}
