Add proofs of the guarantees on virtual time

Cause: each module was tested alone; the guarantees hold or break where the modules meet, under kills, freezes, cuts, outages and restarts.

Settings can name the other VMs of the group, so that a VM that starts while neither the list nor the store answers still finds its peers.

--- a/daemon.go
+++ b/daemon.go
@@ -284,6 +284,13 @@
 
 // listVMs reads the platform's list of VMs until ctx ends.
 func (d *Daemon) listVMs(ctx context.Context) error {
+	if peers := d.cfg.Settings.Peers; len(peers) > 0 {
+		var vms []event.ListedVM
+		for _, p := range peers {
+			vms = append(vms, event.ListedVM{VM: p.VM, Zone: p.Zone, Address: p.Address})
+		}
+		d.control.put(event.VMsListed{VMs: vms})
+	}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, time.Duration(d.cfg.Settings.Store.Timeout))
 		vms, err := d.store.VMs(callCtx)
--- a/internal/vtime/cluster.go
+++ b/internal/vtime/cluster.go
@@ -93,7 +93,7 @@
 // listLag is the age of the platform's list of VMs.
 const listLag = 3 * time.Second
 
-// listVMs hands every daemon a list of the VMs that lags, as long as the store is up.
+// listVMs hands every daemon a list of the VMs that lags. It does not depend on the store.
 func (c *Cluster) listVMs() {
 	var list []event.ListedVM
 	for _, n := range c.Nodes {
@@ -102,9 +102,6 @@
 		}
 	}
 	deliver := func() {
-		if c.Store.Down {
-			return
-		}
 		for _, n := range c.Nodes {
 			n.deliver(func() { n.toControl(event.VMsListed{VMs: list}) })
 		}
--- a/internal/vtime/deployment.go
+++ b/internal/vtime/deployment.go
@@ -84,7 +84,7 @@
 func (d *Deployment) version(r RouteSize, v model.VersionID) model.VersionConfig {
 	vc := model.VersionConfig{ID: v, Epoch: 1, Limits: r.Limits}
 	for s := range r.Shards {
-		shard := model.ShardConfig{ID: model.ShardID(fmt.Sprintf("s%02d", s))}
+		shard := model.ShardConfig{ID: model.ShardID(fmt.Sprintf("s%02d-of-%d", s, r.Shards))}
 		for i := range r.Replicas {
 			id := fmt.Sprintf("%s-%s-%s-%02d-%d", d.Customer, r.Route, v, s, i)
 			shard.Replicas = append(shard.Replicas, model.BackendServer{
--- a/internal/vtime/node.go
+++ b/internal/vtime/node.go
@@ -64,13 +64,18 @@
 	}
 }
 
-// Kill ends the node at once.
-func (n *Node) Kill() {
+// Crash ends the node as a VM that fails: nobody is told.
+func (n *Node) Crash() {
 	n.dead = true
 	n.c.Store.stopWatch(n.watch)
 	for _, id := range sortedKeys(n.running) {
 		n.running[id]() // the backend servers see the connections break
 	}
+}
+
+// Kill ends the node as a process that is killed: its peers see their connections break.
+func (n *Node) Kill() {
+	n.Crash()
 	for _, o := range n.c.Nodes {
 		if o != n {
 			n.c.Links.send(n.VM, o.VM, func() { o.deliver(func() { o.toTraffic(event.PeerLost{VM: n.VM}) }) })
@@ -266,14 +271,17 @@
 		return
 	}
 	cancelled := false
+	dispatched := n.c.Sched.Now()
 	n.running[v.Attempt] = func() { cancelled = true }
 	n.c.Sched.After(n.c.Links.delay(), func() {
 		if cancelled {
 			n.attemptDone(v.Attempt, model.AttemptResult{Outcome: model.OutcomeCancelled})
 			return
 		}
-		cancel := s.start(&v, func(r model.AttemptResult) {
-			n.c.Sched.After(n.c.Links.delay(), func() { n.attemptDone(v.Attempt, r) })
+		cancel := s.start(&v, dispatched, func(r model.AttemptResult) {
+			delay := n.c.Links.delay()
+			s.warn(n.c.Sched.Now() + delay)
+			n.c.Sched.After(delay, func() { n.attemptDone(v.Attempt, r) })
 		})
 		n.running[v.Attempt] = cancel
 	})
--- a/internal/vtime/server.go
+++ b/internal/vtime/server.go
@@ -33,6 +33,7 @@
 
 	OverSlots   int            // attempts that came while all slots were taken
 	OverCold    int            // attempts that came in cold start while ColdSlots were taken
+	Unwarned    int            // of those, the ones dispatched before any sign of the restart reached their owner
 	Executed    int            // attempts that ran
 	BusyTime    time.Duration  // sum of service times
 	LastStart   time.Duration  // virtual time of the last attempt
@@ -40,6 +41,9 @@
 	FellOver    int
 	deadUntil   time.Duration
 	snapshotFor int // snapshots kept beside the newest
+	restartedAt time.Duration
+	warnedAt    time.Duration // when the first sign of the last restart reached an owner; 0 for none
+	resets      []func()      // break the connections of running attempts
 }
 
 func newServer(s *Scheduler, id model.BackendServerID, cfg ServerConfig) *Server {
@@ -49,11 +53,31 @@
 	}
 }
 
-// Restart returns the server to cold start; what ran there is lost.
+// Restart returns the server to cold start; the connections of what ran there break.
 func (s *Server) Restart() {
 	s.boot = model.Boot(s.sched.Rand.Uint64() | 1)
 	s.done = 0
 	s.running = 0
+	s.restartedAt = s.sched.Now()
+	s.warnedAt = 0
+	resets := s.resets
+	s.resets = nil
+	for _, reset := range resets {
+		reset()
+	}
+}
+
+// warn notes that a result of the restarted server reaches an owner at a time.
+func (s *Server) warn(at time.Duration) {
+	if s.restartedAt > 0 && s.warnedAt == 0 {
+		s.warnedAt = at
+	}
+}
+
+// unwarned reports whether an attempt was dispatched before its owner can have seen a sign of
+// the last restart.
+func (s *Server) unwarned(dispatched time.Duration) bool {
+	return s.restartedAt > 0 && (s.warnedAt == 0 || dispatched < s.warnedAt)
 }
 
 // Publish makes the next snapshot the newest.
@@ -73,17 +97,20 @@
 	return model.AttemptResult{Outcome: o, Boot: s.boot, Oldest: s.oldest(), Newest: s.newest}
 }
 
+// maxResets is more than the attempts that can run at once.
+const maxResets = 64
+
 // fallenFor is the time for which a server that was overrun in cold start fails everything.
 const fallenFor = 2 * time.Second
 
 // start takes an attempt. The result arrives through done; the returned function cancels
 // the attempt.
-func (s *Server) start(a *effect.StartAttempt, done func(model.AttemptResult)) (cancel func()) {
+func (s *Server) start(a *effect.StartAttempt, dispatched time.Duration, done func(model.AttemptResult)) (cancel func()) {
 	if s.Gone {
 		done(model.AttemptResult{Outcome: model.OutcomeRefusedConnection, Reason: "connection refused"})
 		return func() {}
 	}
-	if r, ok := s.refuse(a); ok {
+	if r, ok := s.refuse(a, dispatched); ok {
 		done(r)
 		return func() {}
 	}
@@ -95,7 +122,7 @@
 	return s.run(a, done)
 }
 
-func (s *Server) refuse(a *effect.StartAttempt) (model.AttemptResult, bool) {
+func (s *Server) refuse(a *effect.StartAttempt, dispatched time.Duration) (model.AttemptResult, bool) {
 	if a.Snapshot != 0 && (a.Snapshot > s.newest || a.Snapshot < s.oldest()) {
 		return s.result(model.OutcomeSnapshotGone), true
 	}
@@ -104,6 +131,9 @@
 	}
 	if cold := s.done < s.Config.WarmAfter; cold && s.running >= s.Config.ColdSlots {
 		s.OverCold++
+		if s.unwarned(dispatched) {
+			s.Unwarned++
+		}
 		s.FellOver++
 		s.deadUntil = s.sched.Now() + fallenFor
 		s.done = 0
@@ -138,9 +168,14 @@
 		}
 		done(r)
 	}
+	reset := func() { finish(model.AttemptResult{Outcome: model.OutcomeLost, Reason: "connection reset"}, false) }
+	s.resets = append(s.resets, reset)
+	if len(s.resets) > maxResets {
+		s.resets = s.resets[len(s.resets)-maxResets:]
+	}
 	s.sched.After(min(work, a.Timeout), func() {
 		if boot != s.boot || s.Gone {
-			finish(model.AttemptResult{Outcome: model.OutcomeLost, Reason: "connection reset"}, false)
+			reset()
 			return
 		}
 		if work > a.Timeout {
@@ -154,7 +189,7 @@
 			r.Outcome = model.OutcomeFailed
 		}
 		r.Snapshot = snapshot
-		r.Hits = []model.Hit{{Document: fmt.Sprintf("%s/%s", a.Key.Shard, a.Key.Version), Score: 1}}
+		r.Hits = documents(a.Key, snapshot)
 		finish(r, true)
 	})
 	return func() {
@@ -162,6 +197,35 @@
 	}
 }
 
+// DocumentCount is the number of documents of a version.
+const DocumentCount = 100
+
+// documents returns the documents that a shard holds in a snapshot. Every snapshot moves all
+// documents to other shards, so that an answer from two snapshots lacks some and doubles
+// others.
+func documents(key model.ShardKey, snapshot model.Snapshot) []model.Hit {
+	shards, index := shardPlace(key.Shard)
+	var hits []model.Hit
+	for doc := range DocumentCount {
+		if (doc+int(snapshot))%shards == index {
+			hits = append(hits, model.Hit{
+				Document: fmt.Sprintf("doc-%02d", doc),
+				Score:    float64(doc),
+				Body:     fmt.Appendf(nil, "%s/%d", key.Version, snapshot),
+			})
+		}
+	}
+	return hits
+}
+
+// shardPlace reads the number of shards and the index from a name such as "s03-of-20".
+func shardPlace(id model.ShardID) (shards, index int) {
+	if _, err := fmt.Sscanf(string(id), "s%d-of-%d", &index, &shards); err != nil {
+		return 1, 0
+	}
+	return shards, index
+}
+
 // cancelDelay is the time until a cancelled attempt has left its server.
 const cancelDelay = time.Millisecond
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,7 @@
 	Zone      model.AvailabilityZone `json:"zone"`      // availability zone of the VM
 	Addresses Addresses              `json:"addresses"` // where the daemon listens
 	Store     Store                  `json:"store"`
+	Peers     []Peer                 `json:"peers"` // known until the platform's list is first read
 	Timing    Timing                 `json:"timing"`
 	Traffic   Traffic                `json:"traffic"`
 	Operator  Operator               `json:"operator"`
@@ -37,6 +38,13 @@
 	Operator string `json:"operator"` // requests of operators, metrics and profiles
 }
 
+// Peer is another VM of the group.
+type Peer struct {
+	VM      model.VM               `json:"vm"`
+	Zone    model.AvailabilityZone `json:"zone"`
+	Address string                 `json:"address"` // its peer address
+}
+
 // Store says how to reach the platform's object API.
 type Store struct {
 	URL     string              `json:"url"`     // http or https URL with an IP number
@@ -151,7 +159,7 @@
 		}
 	}
 	checks := []func(*strictjson.Document) error{
-		s.validateAddresses, s.validateStore, s.validateTiming, s.validateTraffic, s.validateSecurity, s.validateOutput,
+		s.validateAddresses, s.validatePeers, s.validateStore, s.validateTiming, s.validateTraffic, s.validateSecurity, s.validateOutput,
 	}
 	for _, check := range checks {
 		if err := check(doc); err != nil {
@@ -183,6 +191,23 @@
 	return nil
 }
 
+func (s *Settings) validatePeers(doc *strictjson.Document) error {
+	seen := make(map[model.VM]bool)
+	for i, p := range s.Peers {
+		if !validName.MatchString(string(p.VM)) || !validName.MatchString(string(p.Zone)) {
+			return doc.Fault("vm and zone must be names", "peers", i)
+		}
+		if seen[p.VM] {
+			return doc.Fault(fmt.Sprintf("VM %q is listed twice", p.VM), "peers", i, "vm")
+		}
+		seen[p.VM] = true
+		if _, err := netip.ParseAddrPort(p.Address); err != nil {
+			return doc.Fault(fmt.Sprintf("%q is not an IP number and port", p.Address), "peers", i, "address")
+		}
+	}
+	return nil
+}
+
 func (s *Settings) validateStore(doc *strictjson.Document) error {
 	u, err := url.Parse(s.Store.URL)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
