--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -128,6 +128,9 @@
 		query.CountForeignReplies: 2, query.CountDuplicateReplies: 1})
 	d.request(model.Request{Query: 1})
 	is.Equal(d.counts[query.CountDuplicateQueries], int64(1))
+	d.apply(event.SendFailed{To: s[0].to, Requests: []model.SubRequest{s[0].SubRequest}})
+	d.result(model.OutcomeOK, 1, 2, s[1])
+	is.True(d.answer().Coverage.Complete())
 }
 
 // TestDeadline guards the partial answer: it comes before the caller's deadline, with true
@@ -202,45 +205,46 @@
 		pin     model.Snapshot // of the second run, 0 for none
 		chosen  model.Snapshot // of the answer without a second run
 		covered int
+		cancels int // sub-requests withdrawn
 	}{
 		{"unpinned replies differ", func(d *driver) {
 			s := d.search(1)
 			d.result(model.OutcomeOK, 4, 6, s[:3]...)
 			d.result(model.OutcomeOK, 3, 5, s[3])
-		}, 5, 0, 0},
+		}, 5, 0, 0, 0},
 		{"unpinned replies differ after half of the time", func(d *driver) {
 			s := d.search(1)
 			d.advance(51 * ms)
 			d.result(model.OutcomeOK, 4, 6, s[:3]...)
 			d.result(model.OutcomeOK, 3, 5, s[3])
-		}, 0, 6, 3},
+		}, 0, 6, 3, 0},
 		{"unpinned tie after half of the time", func(d *driver) {
 			s := d.search(1)
 			d.advance(51 * ms)
 			d.result(model.OutcomeOK, 4, 6, s[:2]...)
 			d.result(model.OutcomeOK, 3, 5, s[2:]...)
-		}, 0, 6, 2},
+		}, 0, 6, 2, 0},
 		{"unpinned replies differ and one is late", func(d *driver) {
 			s := d.search(1)
 			d.result(model.OutcomeOK, 4, 6, s[:2]...)
 			d.result(model.OutcomeOK, 3, 5, s[2])
 			d.advance(40 * ms)
-		}, 5, 0, 0},
+		}, 5, 0, 0, 1},
 		{"no common snapshot", func(d *driver) {
 			s := d.search(1)
 			d.result(model.OutcomeOK, 6, 6, s[:3]...)
 			d.result(model.OutcomeOK, 3, 5, s[3])
-		}, 0, 6, 3},
+		}, 0, 6, 3, 0},
 		{"pinned snapshot gone everywhere", func(d *driver) {
 			seen(d, 1, 3)
 			d.result(model.OutcomeSnapshotGone, 5, 7, d.search(1)...)
-		}, 7, 0, 0},
+		}, 7, 0, 0, 0},
 		{"pinned snapshot gone on one shard", func(d *driver) {
 			seen(d, 1, 3)
 			s := d.search(1)
 			d.result(model.OutcomeOK, 2, 4, s[:3]...)
 			d.result(model.OutcomeSnapshotGone, 4, 7, s[3])
-		}, 4, 0, 0},
+		}, 4, 0, 0, 0},
 		{"reply from another snapshot than the pinned one", func(d *driver) {
 			seen(d, 1, 3)
 			s := d.search(1)
@@ -248,19 +252,28 @@
 			r := replyTo(s[3], model.OutcomeOK, 2, 3)
 			r.Snapshot = 2
 			d.reply(s[3].to, r)
-		}, 0, 3, 3},
+		}, 0, 3, 3, 0},
+		{"reply from a newer snapshot that all shards serve", func(d *driver) {
+			seen(d, 1, 3)
+			s := d.search(1)
+			d.result(model.OutcomeOK, 2, 4, s[:3]...)
+			r := replyTo(s[3], model.OutcomeOK, 4, 5)
+			r.Snapshot = 5
+			d.reply(s[3].to, r)
+		}, 4, 0, 0, 0},
 		{"snapshot of the caller gone", func(d *driver) {
 			d.request(model.Request{Query: 1, Snapshot: 3})
 			s := d.takeByShard()
 			d.result(model.OutcomeOK, 2, 4, s[:3]...)
 			d.result(model.OutcomeSnapshotGone, 4, 7, s[3])
-		}, 0, 3, 3},
+		}, 0, 3, 3, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			d := newDriver(1, newView(4, 1))
 			test.play(d)
+			is.Equal(len(d.cancels), test.cancels)
 			again := d.takeByShard()
 			if test.pin == 0 {
 				is.Equal(len(again), 0)
@@ -292,6 +305,31 @@
 	d.request(model.Request{Query: 3, Snapshot: 9}) // may have appeared since
 	d.result(model.OutcomeSnapshotGone, 4, 6, d.take()...)
 	is.Equal(d.code(), model.RefusedInvalid)
+
+	// Invalid implies not run, so it is not used once a part of the query may have run.
+	for _, play := range []func(s []sentRequest){
+		func(s []sentRequest) {
+			d.apply(event.PeerLost{VM: s[0].to})
+			d.advance(query.RetryBackoff)
+			d.result(model.OutcomeSnapshotGone, 4, 6, append(d.take(), s[1])...)
+		},
+		func(s []sentRequest) {
+			other := replyTo(s[0], model.OutcomeOK, 4, 6)
+			other.Snapshot = 6
+			d.reply(s[0].to, other)
+			d.result(model.OutcomeSnapshotGone, 4, 6, s[1])
+		},
+		func(s []sentRequest) {
+			d.result(model.OutcomeEpochChanged, 4, 6, s[0])
+			d.apply(event.ViewPublished{View: newView(2, 2)})
+			d.result(model.OutcomeSnapshotGone, 4, 6, d.take()...)
+		},
+	} {
+		d = newDriver(1, newView(2, 1))
+		d.request(model.Request{Query: 4, Snapshot: 9})
+		play(d.takeByShard())
+		is.Equal(d.code(), model.RefusedLowCoverage)
+	}
 }
 
 // TestPartitionMap guards the plan against views with another epoch: only an owner's reply
@@ -420,6 +458,15 @@
 	is.Equal(resends, 9)
 	is.Equal(d.only().Refusal.Coverage.Missing[0].Reason, model.MissingNoOwner)
 
+	d = newDriver(1, newView(1, 1)) // two VMs name each other as owner
+	d.request(model.Request{Query: 1})
+	for s := d.take(); len(s) > 0; s = d.take() {
+		r := replyTo(s[0], model.OutcomeNotOwner, 0, 0)
+		r.Owner = model.Owner{VM: map[model.VM]model.VM{"vm1": "vm2", "vm2": "vm1"}[s[0].to], Boot: 1}
+		d.reply(s[0].to, r)
+	}
+	is.Equal(d.counts[query.CountRetries], int64(3)) // the third one waits
+
 	d = newDriver(1, newView(30, 1))
 	for id := range model.QueryID(200) {
 		d.search(id)
@@ -497,6 +544,12 @@
 			d.reply(s.to, r)
 			d.reply("vm3", r)
 		}, model.RefusedOutcomeUnknown, 1},
+		{"late failure of the first sending", func(d *driver, s sentRequest) {
+			moved(outcome(model.OutcomeNotOwner))(d, s)
+			failed(false)(d, s)
+			s.to = "vm3"
+			failed(false)(d, s)
+		}, model.RefusedOutcomeUnknown, 1},
 		{"not owner after half of the time", func(d *driver, s sentRequest) {
 			d.advance(50 * ms)
 			moved(outcome(model.OutcomeNotOwner))(d, s)
--- a/core/query/record_test.go
+++ b/core/query/record_test.go
@@ -103,3 +103,24 @@
 		is.Equal(n, test.count)
 	}
 }
+
+// TestObserve guards against a range that pins a snapshot which the server has just denied.
+func TestObserve(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		reply model.SubReply
+		want  snapshotRange
+	}{
+		{model.SubReply{Oldest: 5, Newest: 7}, snapshotRange{5, 7}},
+		{model.SubReply{Newest: 7}, snapshotRange{7, 7}},
+		{model.SubReply{}, snapshotRange{1, 3}},
+		{model.SubReply{Oldest: 9, Newest: 7}, snapshotRange{1, 3}},
+		{model.SubReply{Oldest: 5, Newest: 7, Outcome: model.OutcomeSnapshotGone}, snapshotRange{5, 7}},
+		{model.SubReply{Outcome: model.OutcomeSnapshotGone}, snapshotRange{}},
+		{model.SubReply{Oldest: 2, Newest: 3, Outcome: model.OutcomeSnapshotGone}, snapshotRange{}},
+	} {
+		r := snapshotRange{1, 3}
+		r.observe(&test.reply, 2)
+		is.Equal(r, test.want)
+	}
+}
--- a/core/query/world_test.go
+++ b/core/query/world_test.go
@@ -247,9 +247,9 @@
 	}
 	fault := w.rng.IntN(100)
 	if fault < 4 {
-		w.after(w.upTo(3*ms), func() {
-			w.apply(event.SendFailed{To: m.To, Requests: m.Requests, Sent: fault < 2})
-		})
+		ev := event.SendFailed{To: m.To, Requests: m.Requests, Sent: fault < 2}
+		w.after(w.upTo(3*ms), func() { w.apply(ev) })
+		w.after(w.upTo(40*ms), func() { w.apply(ev) }) // doubled, perhaps after the next sending
 	}
 	if fault < 6 && fault != 0 { // 0: reported as possibly sent, and it did arrive
 		return
@@ -305,6 +305,9 @@
 	}
 	reply := w.reply1(r, model.OutcomeOK)
 	reply.Snapshot = cmp.Or(r.Snapshot, served[1])
+	if w.chance(2) {
+		reply.Snapshot = served[0] // ignores what it was asked for
+	}
 	reply.Hits = hitsOf(r.Query, r.Key, reply.Snapshot, r.Epoch, w.shards)
 	w.back(vm, reply)
 }
