--- a/core/control.go
+++ b/core/control.go
@@ -149,6 +149,7 @@
 	if c.config.Pending(key) || !c.config.StoreUp(now) {
 		return
 	}
+	c.members.SetPaused(automation.State(c.config, c.wall).Paused)
 	next, ok := c.members.NextRoster(now)
 	if !ok {
 		return
