--- a/core/control.go
+++ b/core/control.go
@@ -233,13 +233,13 @@
 	var keys []ownership.Key
 	for _, o := range templates {
 		for i := range o.Template.Routes {
-			keys = appendRouteKeys(keys, o.Template.Customer, &o.Template.Routes[i])
+			keys = appendRouteKeys(keys, o.Version, o.Template.Customer, &o.Template.Routes[i])
 		}
 	}
 	return keys
 }
 
-func appendRouteKeys(keys []ownership.Key, customer model.CustomerID, r *model.RouteConfig) []ownership.Key {
+func appendRouteKeys(keys []ownership.Key, revision uint64, customer model.CustomerID, r *model.RouteConfig) []ownership.Key {
 	for _, v := range r.Versions {
 		for _, s := range v.Shards {
 			k := ownership.Key{
@@ -249,6 +249,7 @@
 					Shard:   s.ID,
 				},
 				AttemptTimeout: r.AttemptTimeout,
+				Revision:       revision,
 			}
 			for _, b := range s.Replicas {
 				k.Zones = append(k.Zones, b.Zone)
