Fix start delay over a roster step and late heartbeats of a former boot

- A VM that a roster step added counted the support that it had been given under the former roster for its start delay.
Carried statements still prolong leases, but the start delay now counts only statements under the present revision.
- A late heartbeat of a former boot, heard first by a VM that had just started, put the present boot on the list of former ones for good.
A boot on that list is now accepted again once the one in its place has been silent for Grace.
- A takeover by abstention could not tell when the former owner had stopped.
Status now says when the abstention was first known.

Ruled out: dropping carried statements altogether, which ends all leases at each roster change; ordering boots by number, since boots are random.

Figures: go test ./core/membership passes, with a test for each of the first two faults.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -88,7 +88,7 @@
 		return
 	}
 	p := t.peer(hb.From)
-	if !p.accepts(hb) {
+	if !p.accepts(hb, now, t.cfg.Grace) {
 		return
 	}
 	if p.boot != hb.Boot {
@@ -102,6 +102,9 @@
 	p.sequence = hb.Sequence
 	p.roster = hb.Roster
 	p.leaving = hb.Leaving
+	if hb.Abstains && !p.abstains {
+		p.abstained = now
+	}
 	p.abstains = hb.Abstains
 	p.apply(hb.Revision, now)
 	p.address = hb.Address
@@ -128,6 +131,7 @@
 		return
 	}
 	p.echo = hb.Supports[i].SentAt
+	p.echoCurrent = p.echo
 	for _, vm := range t.Candidates() {
 		if vm != t.cfg.Self {
 			p.statement(vm).update(p.echo, t.listedBoot(hb, vm))
@@ -350,6 +354,8 @@
 	Since    model.Time // start of the present time of being alive
 	Leaving  bool
 	Abstains bool
+	// Abstained is when the last boot that abstained was first known to.
+	Abstained model.Time
 	// Applied is the highest object version that it is known to have applied for the start
 	// delay, so that it has no lease from before that.
 	Applied uint64
@@ -359,16 +365,17 @@
 func (t *Tracker) Status(vm model.VM, now model.Time) Status {
 	p, ok := t.peers[vm]
 	if !ok {
-		return Status{}
+		return Status{Abstained: longAgo}
 	}
 	return Status{
-		Boot:     p.boot,
-		Address:  p.address,
-		Alive:    p.aliveAt(now, t.cfg.Grace),
-		Since:    p.aliveSince,
-		Leaving:  p.leaving,
-		Abstains: p.abstains,
-		Applied:  p.appliedBy(now - t.StartDelay()),
+		Boot:      p.boot,
+		Address:   p.address,
+		Alive:     p.aliveAt(now, t.cfg.Grace),
+		Since:     p.aliveSince,
+		Leaving:   p.leaving,
+		Abstains:  p.abstains,
+		Abstained: p.abstained,
+		Applied:   p.appliedBy(now - t.StartDelay()),
 	}
 }
 
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// Guards against a start delay that begins with support given under the former roster: a new
+// voter would gain keys that a VM still holds by that roster.
+func TestRosterStepRestartsStartDelay(t *testing.T) {
+	is := is.New(t)
+	tr := newTracker("a")
+	tr.SetRoster(rosterOf(1, "b", "c"), 0)
+	tr.Heartbeat(beat("b", 2, 1, 1, 1990*ms), 2000*ms)
+	tr.Heartbeat(beat("c", 2, 1, 1, 1990*ms), 2000*ms)
+	tr.SetRoster(rosterOf(2, "a", "b", "c"), 2010*ms)
+	is.Equal(tr.Support(2010*ms).Since, model.Never)
+	tr.Heartbeat(beat("b", 2, 2, 2, 2090*ms), 2100*ms)
+	is.Equal(tr.Support(2100*ms).Since, 2100*ms)
+	tr.SetRoster(rosterOf(3, "a", "b"), 2200*ms)
+	is.Equal(tr.Support(2200*ms), Support{Until: 2590 * ms, Since: model.Never}) // renewal goes on
+	tr.SetRoster(rosterOf(5, "a", "b", "d"), 2300*ms)
+	is.True(tr.Support(2300*ms).Until < 0) // a greater step drops all statements
+}
+
 // Guards against a vote of a VM that has forgotten its promises.
 func TestNoVoteWithinGraceOfStart(t *testing.T) {
 	is := is.New(t)
@@ -95,14 +113,25 @@
 	is.Equal(tr.supports(4500 * ms)[0].Boot, model.Boot(2))
 	tr.Heartbeat(beat("b", 2, 8, 1, -1), 4550*ms) // late heartbeat of the former boot
 	is.Equal(tr.Status("b", 4550*ms).Boot, model.Boot(3))
-	hb := beat("b", 3, 2, 1, -1)
-	tr.Heartbeat(hb, 4560*ms)
-	hb = beat("b", 3, 3, 1, -1)
+	tr.Heartbeat(beat("b", 3, 2, 1, -1), 4560*ms)
+	hb := beat("b", 3, 3, 1, -1)
 	hb.Abstains = true
 	tr.Heartbeat(hb, 4600*ms)
 	is.True(!supports(4600 * ms)) // a boot that has abstained needs no support
 }
 
+// Guards against a late heartbeat of a former boot that shuts the present boot out for ever.
+func TestLateFormerBoot(t *testing.T) {
+	is := is.New(t)
+	tr := newTracker("a")
+	tr.Heartbeat(beat("b", 3, 8, 0, -1), 0)
+	tr.Heartbeat(beat("b", 2, 9, 0, -1), 100*ms) // this VM cannot know that boot 2 is the older one
+	tr.Heartbeat(beat("b", 3, 9, 0, -1), 200*ms)
+	is.Equal(tr.Status("b", 200*ms).Boot, model.Boot(2))
+	tr.Heartbeat(beat("b", 3, 20, 0, -1), 1300*ms)
+	is.Equal(tr.Status("b", 1300*ms).Boot, model.Boot(3))
+}
+
 // Guards against peers that are forgotten too early, kept for ever or never contacted.
 func TestPeers(t *testing.T) {
 	is := is.New(t)
--- a/core/membership/peer.go
+++ b/core/membership/peer.go
@@ -27,6 +27,7 @@
 	applied    []appliedRevision // oldest first
 	leaving    bool
 	abstains   bool
+	abstained  model.Time // when the last boot that abstained was first known to
 
 	// The promise given to the peer. It outlives a change of boot, because attempts of the
 	// former boot may still run.
@@ -38,8 +39,9 @@
 	formerUntil  model.Time
 
 	// What the peer states, dated by the send times of this VM that it echoes.
-	echo   model.Time
-	states map[model.VM]*statement
+	echo        model.Time
+	echoCurrent model.Time // like echo, by heartbeats that use the roster in use now
+	states      map[model.VM]*statement
 }
 
 // appliedRevision is an object version with the time at which the peer was first known to
@@ -67,16 +69,20 @@
 		notSince:     longAgo,
 		formerUntil:  longAgo,
 		echo:         longAgo,
+		echoCurrent:  longAgo,
+		abstained:    longAgo,
 		states:       make(map[model.VM]*statement),
 	}
 }
 
-// accepts reports whether the heartbeat is newer than what is known.
-func (p *peer) accepts(hb *event.Heartbeat) bool {
+// accepts reports whether the heartbeat is newer than what is known. A late heartbeat of a
+// former boot may have displaced the present one, whose order is not known; the former one
+// then falls silent, and the present one is accepted again.
+func (p *peer) accepts(hb *event.Heartbeat, now model.Time, grace time.Duration) bool {
 	if hb.Boot == p.boot {
 		return hb.Sequence > p.sequence
 	}
-	return !slices.Contains(p.retired, hb.Boot)
+	return !slices.Contains(p.retired, hb.Boot) || !p.aliveAt(now, grace)
 }
 
 // reset forgets what a former boot said. The promise to that boot stays.
@@ -94,6 +100,7 @@
 
 func (p *peer) clearStatements() {
 	p.echo = longAgo
+	p.echoCurrent = longAgo
 	clear(p.states)
 }
 
--- a/core/membership/roster.go
+++ b/core/membership/roster.go
@@ -38,6 +38,9 @@
 		return
 	}
 	t.previous = old
+	for _, p := range t.peers {
+		p.echoCurrent = longAgo
+	}
 	for _, vm := range r.VMs {
 		if !old.Has(vm) {
 			t.added(vm, now)
--- a/core/membership/votes.go
+++ b/core/membership/votes.go
@@ -43,14 +43,14 @@
 	if t.roster == nil || !t.roster.Has(t.cfg.Self) {
 		return Support{Until: longAgo, Since: model.Never}
 	}
-	until := t.majorityEnd(t.roster, now, supportVote)
 	if now >= t.supportUntil {
 		t.supportSince = now
 	}
-	t.supportUntil = max(t.supportUntil, until)
+	t.supportUntil = max(t.supportUntil, t.majorityEnd(t.roster, now, currentSupportVote))
 	if t.supportUntil <= now {
 		t.supportSince = model.Never
 	}
+	until := t.majorityEnd(t.roster, now, supportVote)
 	if t.previous != nil {
 		until = min(until, t.majorityEnd(t.previous, now, supportVote))
 	}
@@ -122,6 +122,16 @@
 	return longAgo
 }
 
+// currentSupportVote is supportVote without the statements that a roster change has carried
+// over. They prolong leases but do not count for the start delay, which has to prove that a
+// majority had left the former roster.
+func currentSupportVote(t *Tracker, voter model.VM, now model.Time) model.Time {
+	if p, ok := t.peers[voter]; ok && voter != t.cfg.Self {
+		return p.echoCurrent.Add(t.cfg.Fence)
+	}
+	return supportVote(t, voter, now)
+}
+
 // against returns until when the vote of voter against vm counts.
 func (t *Tracker) against(voter, vm model.VM, exempt model.Boot, now model.Time) model.Time {
 	if voter == t.cfg.Self {
