--- a/core/ownership/sim_test.go
+++ b/core/ownership/sim_test.go
@@ -354,13 +354,23 @@
 	}
 }
 
-// rezone moves the replicas of a key; each process hears of it at another time.
+// rezone moves the replicas of a key; in half of the cases the operator soon takes the
+// change back.
 func (s *sim) rezone() {
+	i := s.rng.IntN(simKeys)
+	former := s.keys[i].Zones
+	s.setZones(i, []model.AvailabilityZone{zoneOf(vmName(s.rng.IntN(simVMs)))})
+	if s.rng.IntN(2) == 0 {
+		s.after(s.between(0, time.Second), func() { s.setZones(i, former) })
+	}
+}
+
+// setZones changes the zones of a key; each process hears of it at another time.
+func (s *sim) setZones(i int, zones []model.AvailabilityZone) {
 	s.keys = slices.Clone(s.keys)
 	s.version++
-	k := &s.keys[s.rng.IntN(simKeys)]
-	k.Zones = []model.AvailabilityZone{zoneOf(vmName(s.rng.IntN(simVMs)))}
-	k.Revision = s.version
+	s.keys[i].Zones = zones
+	s.keys[i].Revision = s.version
 	version, keys := s.version, s.keys
 	for _, p := range s.live() {
 		s.after(s.between(0, 3*time.Second), func() {
