Take the first roster after a start only from the store or a majority

Cause: a VM forgets its roster at a restart and may pull it from a peer that is behind. Restarted VMs with an old roster could form its majority again beside the majority of the present roster, which gives a key two owners.

Waiting for the store alone was ruled out: it may be down for an hour. A roster that a majority of its other VMs uses now cannot have been superseded by more than the next one, and that one has no majority.

The unused echo of releases is removed, since a release waives no delay.

--- a/core/control.go
+++ b/core/control.go
@@ -30,6 +30,8 @@
 	config  *config.Cache
 	moves   *moves.Controller
 
+	rosterRead uint64 // version of the roster last read from the store or written there
+
 	configView   *model.ConfigView // rebuilt when the configuration changes
 	wantedShards int
 	revisions    map[model.VM]uint64 // highest object version in force on each peer
@@ -62,10 +64,12 @@
 // reduce applies one event. Each handler reports whether the configuration in force has
 // changed.
 func (c *Control) reduce(ev event.Event, now model.Time, out *effect.List) {
+	c.noteRoster(ev)
 	changed := c.handle(ev, now, out)
 	if changed {
 		c.rebuild(now)
 	}
+	c.adoptRoster(now)
 	c.updateAway(now, out)
 	c.keys.Update(now, out)
 	if c.publishes(ev, changed) {
@@ -111,6 +115,44 @@
 	return false
 }
 
+func (c *Control) rosterKey() model.ObjectKey {
+	return model.ObjectKey{Kind: model.ObjectRoster, Name: c.cfg.Group}
+}
+
+// noteRoster remembers the version of the roster that the store itself has shown.
+func (c *Control) noteRoster(ev event.Event) {
+	var objects []model.Object
+	switch e := ev.(type) {
+	case event.ObjectsReceived:
+		if e.FromStore {
+			objects = e.Objects
+		}
+	case event.WriteDone:
+		if e.Outcome == event.WriteOK || e.Outcome == event.WriteConflict {
+			objects = []model.Object{e.Object}
+		}
+	}
+	for i := range objects {
+		if objects[i].Key == c.rosterKey() {
+			c.rosterRead = max(c.rosterRead, objects[i].Version)
+		}
+	}
+}
+
+// adoptRoster hands the roster to membership. The first one after a start must come from the
+// store, or be in use by a majority of its VMs: a peer may still have an old one, and if
+// restarted VMs adopted that, its majority could form again beside that of the present one.
+func (c *Control) adoptRoster(now model.Time) {
+	o, ok := c.config.Get(c.rosterKey())
+	if !ok {
+		return
+	}
+	proven := c.members.Roster() != nil || c.rosterRead >= o.Version || c.members.InUse(o.Roster, now)
+	if proven {
+		c.members.SetRoster(o.Roster, now)
+	}
+}
+
 // publishes reports whether the event can have changed the view. Heartbeats renew leases,
 // but publishing at every tick is enough for that, since a tick is much shorter than Fence.
 func (c *Control) publishes(ev event.Event, changed bool) bool {
@@ -150,7 +192,7 @@
 }
 
 func (c *Control) proposeRoster(now model.Time, out *effect.List) {
-	key := model.ObjectKey{Kind: model.ObjectRoster, Name: c.cfg.Group}
+	key := c.rosterKey()
 	if c.config.Pending(key) || !c.config.StoreUp(now) {
 		return
 	}
@@ -227,10 +269,6 @@
 		v.Templates[o.Template.Customer] = o.Template
 	}
 	c.configView = v
-	roster, ok := c.config.Get(model.ObjectKey{Kind: model.ObjectRoster, Name: c.cfg.Group})
-	if ok {
-		c.members.SetRoster(roster.Roster, now)
-	}
 	keys := ownedKeys(c.config.All(model.ObjectTemplate))
 	c.wantedShards = len(keys)
 	c.keys.SetKeys(keys, now)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -172,10 +172,6 @@
 	From model.VM
 	Boot model.Boot
 	To   model.VM
-	// Echo is the send time, by the receiver's clock, of the last heartbeat received from it.
-	// Like every statement, the release counts for Fence after that time; a late one waives
-	// nothing.
-	Echo model.Time
 	Keys []ReleasedKey
 }
 
--- a/core/membership/roster.go
+++ b/core/membership/roster.go
@@ -160,6 +160,19 @@
 	return true
 }
 
+// InUse reports whether a majority of a roster, this VM left out, uses it now. No later roster
+// than the next one can then be in use, and that one not by a majority.
+func (t *Tracker) InUse(r *model.Roster, now model.Time) bool {
+	n := 0
+	for _, vm := range r.VMs {
+		p, ok := t.peers[vm]
+		if ok && vm != t.cfg.Self && p.aliveAt(now, t.cfg.Grace) && p.roster == r.Revision {
+			n++
+		}
+	}
+	return n >= r.Majority()
+}
+
 // settled reports whether a majority of the roster uses it.
 func (t *Tracker) settled(now model.Time) bool {
 	n := 0
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -261,7 +261,7 @@
 }
 
 func releaseToPB(r *event.Release) *peerpb.Release {
-	p := &peerpb.Release{From: string(r.From), Boot: uint64(r.Boot), To: string(r.To), Echo: int64(r.Echo)}
+	p := &peerpb.Release{From: string(r.From), Boot: uint64(r.Boot), To: string(r.To)}
 	for i := range r.Keys {
 		p.Keys = append(p.Keys, releasedKeyToPB(&r.Keys[i]))
 	}
@@ -284,7 +284,7 @@
 }
 
 func releaseFromPB(p *peerpb.Release) event.Release {
-	r := event.Release{From: model.VM(p.GetFrom()), Boot: model.Boot(p.GetBoot()), To: model.VM(p.GetTo()), Echo: model.Time(p.GetEcho())}
+	r := event.Release{From: model.VM(p.GetFrom()), Boot: model.Boot(p.GetBoot()), To: model.VM(p.GetTo())}
 	for _, k := range p.GetKeys() {
 		r.Keys = append(r.Keys, releasedKeyFromPB(k))
 	}
