Read the roster from the store at the start of a VM

Cause: with the proof rule only the two watchers could adopt the first roster, the others had it from peers, and no majority ever used it: 0 of 58 keys had an owner in TestCalm.

A VM without a proven roster reads it from the store once a second until it has it. Letting every VM hold a watch was ruled out by its cost.

--- a/core/control.go
+++ b/core/control.go
@@ -30,7 +30,8 @@
 	config  *config.Cache
 	moves   *moves.Controller
 
-	rosterRead uint64 // version of the roster last read from the store or written there
+	rosterRead uint64     // version of the roster last read from the store or written there
+	rosterAsk  model.Time // when the store is next asked for the roster
 
 	configView   *model.ConfigView // rebuilt when the configuration changes
 	wantedShards int
@@ -69,7 +70,7 @@
 	if changed {
 		c.rebuild(now)
 	}
-	c.adoptRoster(now)
+	c.adoptRoster(now, out)
 	c.updateAway(now, out)
 	c.keys.Update(now, out)
 	if c.publishes(ev, changed) {
@@ -142,7 +143,8 @@
 // adoptRoster hands the roster to membership. The first one after a start must come from the
 // store, or be in use by a majority of its VMs: a peer may still have an old one, and if
 // restarted VMs adopted that, its majority could form again beside that of the present one.
-func (c *Control) adoptRoster(now model.Time) {
+// A VM that has it only from a peer asks the store, since most VMs hold no watch.
+func (c *Control) adoptRoster(now model.Time, out *effect.List) {
 	o, ok := c.config.Get(c.rosterKey())
 	if !ok {
 		return
@@ -150,9 +152,17 @@
 	proven := c.members.Roster() != nil || c.rosterRead >= o.Version || c.members.InUse(o.Roster, now)
 	if proven {
 		c.members.SetRoster(o.Roster, now)
+		return
+	}
+	if now >= c.rosterAsk {
+		c.rosterAsk = now.Add(rosterAskInterval)
+		out.Add(effect.ReadObject{Key: c.rosterKey()})
 	}
 }
 
+// rosterAskInterval is the time between two reads of the roster by a VM that has just started.
+const rosterAskInterval = time.Second
+
 // publishes reports whether the event can have changed the view. Heartbeats renew leases,
 // but publishing at every tick is enough for that, since a tick is much shorter than Fence.
 func (c *Control) publishes(ev event.Event, changed bool) bool {
