Carry the cold-start state of backend servers in a release

Cause: a release named only running attempts and submits, so the successor took every backend server for warm, and the previous owner reported unproven slots as occupied for 1 s each to hold it back. A hand-over more often than a cold start lasts brought the limit up by time instead of by successes.

KeyDrained, ReleasedKey and Lease now list boot, limit and successes per usable backend server, and the successor goes on from there. A server that is not listed starts cold. core/ownership still has to copy the list; until it does, every hand-over starts cold, which is safe.

A boot that differs in the first reply sends the server cold, but by then the successor could have started attempts up to the old limit. So its own attempts stay within the cold-start bound until the first reply. Ruled out: counting the previous owner's attempts against that bound as well.

Tests that need warm servers now get a lease that lists them as warm.

Not carried: the hold of a shed reply, at most 1 s.

--- a/core/admission/drain.go
+++ b/core/admission/drain.go
@@ -8,11 +8,6 @@
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
-// withheldStep is the time after which the successor may use each further slot of a
-// server that is not warm. A release does not carry limits, so that withheld slots are
-// reported as occupied.
-const withheldStep = time.Second
-
 // Drain stops dispatching for a key and reports event.KeyDrained. Attempts in flight go on
 // and are answered to their entry daemons.
 func (o *Owner) Drain(ev event.DrainKey, now model.Time, out *effect.List) {
@@ -28,6 +23,7 @@
 		o.settle(k)
 		drained.Running = k.remaining(now)
 		drained.Submits = k.submits.recent(now)
+		drained.Servers = k.serverStates(now)
 	}
 	o.count(CountDrained)
 	o.out.Add(effect.ReportDrained{Drained: drained})
@@ -47,18 +43,53 @@
 				}
 			}
 		}
-		occupied := s.inFlightAt(now)
+		s.dropExpired(now)
 		for _, until := range s.inherited {
 			add(until.Sub(now))
 		}
-		limit := s.limitAt(now)
+	}
+	return all
+}
+
+// serverStates lists the cold-start states for the next owner. Unusable servers are left
+// out, since they start cold when they become usable.
+func (k *shardKey) serverStates(now model.Time) []model.ServerState {
+	var all []model.ServerState
+	for _, s := range k.servers {
 		if !s.usable {
-			limit = s.coldBound // it starts cold when it becomes usable
-		}
-		withheld := s.slots - max(limit, occupied)
-		for i := range max(0, withheld) {
-			add(time.Duration(i+1) * withheldStep)
+			continue
 		}
+		all = append(all, model.ServerState{
+			Server:    s.config.ID,
+			Boot:      s.boot,
+			Limit:     s.limitAt(now),
+			Successes: s.successes,
+		})
 	}
 	return all
 }
+
+// takeOver applies the states that the previous owner released to the backend servers of a
+// key. Every other one starts cold.
+func (o *Owner) takeOver(k *shardKey) {
+	for _, s := range k.servers {
+		if state := k.releasedState(s.config.ID); state != nil {
+			s.resume(state, o.now)
+			continue
+		}
+		s.toCold(o.now)
+		o.count(CountColdStarts)
+	}
+}
+
+func (k *shardKey) releasedState(id model.BackendServerID) *model.ServerState {
+	if !k.lease.Clean {
+		return nil
+	}
+	for i := range k.lease.Servers {
+		if k.lease.Servers[i].Server == id {
+			return &k.lease.Servers[i]
+		}
+	}
+	return nil
+}
--- a/core/admission/key.go
+++ b/core/admission/key.go
@@ -86,9 +86,10 @@
 		o.gain(k)
 	}
 	if gained || reconfigured {
-		o.configure(k, gained && lease.Clean)
+		o.configure(k, gained)
 	}
 	if gained {
+		o.takeOver(k)
 		k.inherit(lease.Running)
 	}
 	if gained || lost || reconfigured || k.queue.len() > 0 {
@@ -96,18 +97,9 @@
 	}
 }
 
-// gain starts a new term. Without a release by the previous owner nothing is known of its
-// attempts, so that every backend server starts at its cold-start bound.
+// gain starts a new term.
 func (o *Owner) gain(k *shardKey) {
 	k.heldSince = o.now
-	for _, s := range k.servers {
-		if k.lease.Clean {
-			s.toWarm()
-			continue
-		}
-		s.toCold(o.now)
-		o.count(CountColdStarts)
-	}
 	if k.lease.Clean {
 		k.submits.inherit(k.lease.Submits)
 	}
@@ -133,9 +125,9 @@
 	return nil
 }
 
-// configure applies the configuration in force. New backend servers start warm only if
-// they come with a clean release.
-func (o *Owner) configure(k *shardKey, clean bool) {
+// configure applies the configuration in force. At the start of a term, takeOver decides
+// the cold-start states afterwards.
+func (o *Owner) configure(k *shardKey, gained bool) {
 	var epoch uint64
 	if k.version != nil {
 		epoch = k.version.Epoch
@@ -153,7 +145,7 @@
 	k.route, k.version, k.shard = route, version, shard
 	k.removeServers(shard.Replicas)
 	for i := range shard.Replicas {
-		o.configureServer(k, &shard.Replicas[i], clean)
+		o.configureServer(k, &shard.Replicas[i], gained)
 	}
 	slices.SortFunc(k.servers, func(a, b *server) int {
 		return strings.Compare(string(a.config.ID), string(b.config.ID))
@@ -165,18 +157,17 @@
 	}
 }
 
-func (o *Owner) configureServer(k *shardKey, replica *model.BackendServer, clean bool) {
+func (o *Owner) configureServer(k *shardKey, replica *model.BackendServer, gained bool) {
 	usable := o.view.Config.Usable(k.id.Customer, replica)
 	s := k.server(replica.ID)
 	if s == nil {
 		s = &server{config: *replica, usable: usable}
 		s.setLimits(k.version.Limits)
-		s.toWarm()
-		if !clean {
+		k.servers = append(k.servers, s)
+		if !gained {
 			s.toCold(o.now)
 			o.count(CountColdStarts)
 		}
-		k.servers = append(k.servers, s)
 		return
 	}
 	s.setLimits(k.version.Limits)
@@ -184,7 +175,7 @@
 	moved := replica.Address != s.config.Address
 	s.config = *replica
 	s.usable = usable
-	if returned || moved {
+	if !gained && (returned || moved) {
 		s.toCold(o.now)
 		o.count(CountColdStarts)
 	}
--- a/core/admission/property_test.go
+++ b/core/admission/property_test.go
@@ -89,10 +89,28 @@
 		l.Until = h.now.Add(50 * time.Millisecond)
 	default:
 		l = model.Lease{Until: model.Never, Term: uint64(h.now), Clean: rng.IntN(2) == 0}
+		l.Servers = randomStates(rng, i)
 	}
 	v.Leases[keyOf(i)] = l
 }
 
+// randomStates returns states of which some are missing or out of range.
+func randomStates(rng *rand.Rand, i int) []model.ServerState {
+	var states []model.ServerState
+	for replica := range 2 {
+		if rng.IntN(4) == 0 {
+			continue
+		}
+		states = append(states, model.ServerState{
+			Server:    serverOf(i, replica),
+			Boot:      model.Boot(rng.IntN(3)),
+			Limit:     rng.IntN(limits.Slots+3) - 1,
+			Successes: rng.IntN(10) - 1,
+		})
+	}
+	return states
+}
+
 func lost(h *harness, vm model.VM) {
 	for _, t := range h.subs {
 		t.withdrawn = t.withdrawn || t.sub.Entry == vm
--- a/core/admission/server.go
+++ b/core/admission/server.go
@@ -54,6 +54,9 @@
 
 	boot     model.Boot
 	lastBoot model.Boot // the boot before; late replies may still carry it
+	// unconfirmed is set from a hand-over until the first reply: the server may have
+	// restarted since the previous owner heard of it, so it gets its cold-start bound only.
+	unconfirmed bool
 
 	inFlight  int          // own attempts, also cancelled ones, until reported done
 	inherited []model.Time // ends of the previous owner's attempts, sorted
@@ -87,13 +90,20 @@
 
 // inFlightAt returns the attempts that occupy a slot, including inherited ones.
 func (s *server) inFlightAt(now model.Time) int {
+	s.dropExpired(now)
+	return s.inFlight + len(s.inherited)
+}
+
+func (s *server) dropExpired(now model.Time) {
 	for len(s.inherited) > 0 && s.inherited[0] <= now {
 		s.inherited = s.inherited[1:]
 	}
-	return s.inFlight + len(s.inherited)
 }
 
 func (s *server) hasFreeSlot(now model.Time) bool {
+	if s.unconfirmed && s.inFlight >= s.coldBound {
+		return false
+	}
 	return s.usable && s.inFlightAt(now) < s.limitAt(now)
 }
 
@@ -104,10 +114,22 @@
 	s.limit = min(s.limit, s.slots) // added slots are not proven yet
 }
 
-func (s *server) toWarm() {
-	s.limit = s.slots
-	s.successes = 0
-	s.holdUntil = 0
+// resume continues the cold start where the previous owner was. Completions of attempts
+// that this owner started in an earlier term prove nothing.
+func (s *server) resume(state *model.ServerState, now model.Time) {
+	limit := min(max(0, state.Limit), s.slots)
+	if now < s.holdUntil {
+		limit = min(limit, s.limit)
+	}
+	s.limit = limit
+	s.successes = max(0, state.Successes)
+	s.generation++
+	s.unconfirmed = state.Boot != 0
+	s.recent = s.longTerm
+	if state.Boot != 0 && state.Boot != s.boot {
+		s.lastBoot = s.boot
+		s.boot = state.Boot
+	}
 }
 
 func (s *server) toCold(now model.Time) {
@@ -117,6 +139,7 @@
 		s.limit = s.coldBound
 	}
 	s.successes = 0
+	s.unconfirmed = false
 	s.generation++
 	s.recent = s.longTerm
 }
@@ -124,6 +147,9 @@
 // observe updates the state by the result of an attempt. It reports whether the server
 // went back to cold and whether a latency step was the reason.
 func (s *server) observe(a *attempt, res *model.AttemptResult, now model.Time) (cold, step bool) {
+	if a.generation == s.generation && (res.Boot != 0 || res.Outcome == model.OutcomeOK) {
+		s.unconfirmed = false
+	}
 	restarted := s.observeBoot(res.Boot)
 	// A deadline shorter than the usual latency says nothing about the server.
 	slow := float64(now.Sub(a.started)) > s.recent.value
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -60,12 +60,13 @@
 	MoveOutcomes struct{ Evidence model.MoveEvidence }
 
 	// KeyDrained reports that a traffic worker has stopped dispatching for a key that this VM
-	// is handing over, with the attempts that still run.
+	// is handing over, with the attempts that still run and the cold-start states.
 	KeyDrained struct {
 		Key     model.ShardKey
 		Term    uint64
 		Running []Remaining
 		Submits []RecentSubmit
+		Servers []model.ServerState
 	}
 
 	// ReleaseReceived hands keys over from their previous owner.
@@ -186,11 +187,13 @@
 	NotRun bool // the submit is known not to have run
 }
 
-// ReleasedKey is one key with the attempts of the previous owner that still run.
+// ReleasedKey is one key with the attempts of the previous owner that still run and the
+// cold-start states of its backend servers.
 type ReleasedKey struct {
 	Key     model.ShardKey
 	Running []Remaining
 	Submits []RecentSubmit
+	Servers []model.ServerState
 }
 
 // Remaining is a running attempt with the longest time for which it can still occupy a slot.
--- a/internal/loadmodel/owner.go
+++ b/internal/loadmodel/owner.go
@@ -121,7 +121,7 @@
 		d.owners = append(d.owners, vm)
 		leases := map[model.ShardKey]model.Lease{}
 		for s := i; s < m.setup.Shards; s += m.setup.Entries {
-			leases[keyOf(s)] = model.Lease{Until: model.Never, Term: 1, Clean: true}
+			leases[keyOf(s)] = warmLease(&version.Shards[s], m.setup.Slots)
 		}
 		view := &model.View{Self: vm.name(), Boot: 1, Config: config, Leases: leases}
 		vm.do(func(out *effect.List) { vm.owner.View(view, m.now, out) })
@@ -129,6 +129,15 @@
 	return d
 }
 
+// warmLease returns a lease whose previous owner had brought all servers to their slots.
+func warmLease(shard *model.ShardConfig, slots int) model.Lease {
+	lease := model.Lease{Until: model.Never, Term: 1, Clean: true}
+	for _, b := range shard.Replicas {
+		lease.Servers = append(lease.Servers, model.ServerState{Server: b.ID, Boot: 1, Limit: slots})
+	}
+	return lease
+}
+
 func (d *perKey) attempts() int { return d.sent }
 
 func (d *perKey) query(entry int, done func(int, bool)) {
--- a/model/view.go
+++ b/model/view.go
@@ -33,12 +33,23 @@
 	Until Time
 	Term  uint64 // rises each time this VM gains the key anew
 	// Clean is set when the previous owner released the key, so that its running attempts
-	// are known; else every backend server starts at its cold-start bound.
+	// and cold-start states are known; else every backend server starts at its cold-start bound.
 	Clean bool
 	// Running lists attempts of the previous owner that may still occupy slots.
 	Running []RunningAttempt
 	// Submits are the idempotency keys that the previous owner had seen; complete only if Clean.
 	Submits []SeenSubmit
+	// Servers are the cold-start states at the previous owner, used only if Clean. A backend
+	// server that is not listed starts cold.
+	Servers []ServerState
+}
+
+// ServerState is the cold-start state of one backend server as its owner knows it.
+type ServerState struct {
+	Server    BackendServerID
+	Boot      Boot // last one seen in a reply, 0 if none
+	Limit     int  // attempts that may be in flight
+	Successes int  // counted at that limit
 }
 
 // SeenSubmit is an idempotency key of a submit seen by a previous owner.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -280,6 +280,14 @@
 			NotRun:    s.NotRun,
 		})
 	}
+	for _, s := range k.Servers {
+		p.Servers = append(p.Servers, &peerpb.ServerState{
+			Server:    string(s.Server),
+			Boot:      uint64(s.Boot),
+			Limit:     uint32(s.Limit),
+			Successes: uint32(s.Successes),
+		})
+	}
 	return p
 }
 
@@ -306,6 +314,14 @@
 			NotRun: s.GetNotRun(),
 		})
 	}
+	for _, s := range p.GetServers() {
+		k.Servers = append(k.Servers, model.ServerState{
+			Server:    model.BackendServerID(s.GetServer()),
+			Boot:      model.Boot(s.GetBoot()),
+			Limit:     int(s.GetLimit()),
+			Successes: int(s.GetSuccesses()),
+		})
+	}
 	return k
 }
 
