Give each traffic worker only the leases of its own shard keys

Cause: every worker got the whole view, so each kept queues, servers and cold-start state for the keys of all workers, walked them on every view, and would have counted cold starts for keys that it never serves.

publish now hands each worker a copy of the view whose Leases holds the keys that hash to it. Owners and configuration stay shared. Ruled out: filtering in core/admission, which would have to know how the runtime hashes keys.

--- a/control.go
+++ b/control.go
@@ -167,11 +167,29 @@
 func (c *controlLoop) publish(v *model.View) {
 	c.d.metrics.view(v)
 	c.d.network.Forget(v.Peers)
-	for _, w := range c.d.workers {
-		w.put(event.ViewPublished{View: v})
+	for i, part := range c.d.viewsByWorker(v) {
+		c.d.workers[i].put(event.ViewPublished{View: part})
 	}
 }
 
+// viewsByWorker returns a copy of a view for each worker that holds only the leases of its
+// own shard keys, so that no worker keeps state for the keys of another one.
+func (d *Daemon) viewsByWorker(v *model.View) []*model.View {
+	if len(d.workers) == 1 {
+		return []*model.View{v}
+	}
+	parts := make([]*model.View, len(d.workers))
+	for i := range parts {
+		part := *v
+		part.Leases = make(map[model.ShardKey]model.Lease, len(v.Leases)/len(parts))
+		parts[i] = &part
+	}
+	for key, lease := range v.Leases {
+		parts[d.workerOf(key).index].Leases[key] = lease
+	}
+	return parts
+}
+
 func (c *controlLoop) reply(v effect.ReplyOperator) {
 	c.mu.Lock()
 	ch := c.commands[v.Command]
