Measure how a cold fleet comes up

Cause: nothing showed what callers get while all servers of a route are cold. The test sends whole queries of three classes (20, 60 and 20 in 100) to 20 shards of 2 cold searchers (3 slots, ColdSlots 1, WarmAfter 50, median 8 ms, 1% ten times slower) at 50% of the warm capacity, which is 1.5 times the cold one. No server is ever overrun in any run below.

Time until 99 of 100 queries are answered whole over the next 300, and outcomes of the queries of the first 500 ms.

Late are queries with a shard whose request expired in the queue or timed out.

The ramp is bounded by the 50 requests that a server must serve one after the other, 0.49 s at the mean service time.

--- /dev/null
+++ b/core/admission/coldfleet_test.go
@@ -0,0 +1,174 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// A cold fleet: all servers of a Haugland route start cold under half of its warm load.
+const (
+	coldShards    = 20
+	coldWarmAfter = 50
+	coldLoad      = 0.5
+	coldSeeds     = 4
+	coldRunTime   = 1600 * time.Millisecond
+	// coldPeriod is the time from the start over which outcomes are counted. A server needs
+	// about as long for coldWarmAfter requests one after the other.
+	coldPeriod = 500 * time.Millisecond
+	// meanService is the mean of fleet.service: lognormal, and 1% ten times slower.
+	meanService = 9880 * time.Microsecond
+	// warmWindow is the number of queries of which 99 in 100 must be answered: one second
+	warmWindow = 300
+)
+
+// coldClasses is the share of queries up to each class.
+var coldClasses = [...]float64{0.2, 0.8, 1}
+
+type coldQuery struct {
+	at       time.Duration
+	class    model.Class
+	answered int // shards
+	shed     int
+	late     int
+}
+
+// coldResult sums up the queries of coldPeriod.
+type coldResult struct {
+	warm     time.Duration // until the first window of which 99 in 100 are answered whole
+	total    [len(coldClasses)]int
+	shed     [len(coldClasses)]int // by at least one shard, and in time by the others
+	late     [len(coldClasses)]int
+	answered [len(coldClasses)]int // shards
+}
+
+func (r *coldResult) add(o coldResult) {
+	r.warm += o.warm
+	for c := range r.total {
+		r.total[c] += o.total[c]
+		r.shed[c] += o.shed[c]
+		r.late[c] += o.late[c]
+		r.answered[c] += o.answered[c]
+	}
+}
+
+func (r *coldResult) String() string {
+	s := fmt.Sprintf("warm after %v;", (r.warm / coldSeeds).Round(time.Millisecond))
+	for c, n := range r.total {
+		percent := func(k int) float64 { return 100 * float64(k) / float64(max(n, 1)) }
+		s += fmt.Sprintf(" class %d: %d queries, whole %.1f%%, shed %.1f%%, late %.1f%%, shards answered %.1f%%;",
+			c, n, percent(n-r.shed[c]-r.late[c]), percent(r.shed[c]), percent(r.late[c]), percent(r.answered[c])/coldShards)
+	}
+	return s
+}
+
+// runColdFleet sends whole queries to all shards in virtual time.
+func runColdFleet(seed uint64, budget time.Duration) (*harness, *fleet, coldResult) {
+	v := changeView(newView(coldShards), func(v *model.View, c *model.VersionConfig) {
+		c.Limits.WarmAfter = coldWarmAfter
+		for key := range v.Leases {
+			v.Leases[key] = model.Lease{Until: model.Never, Term: 1}
+		}
+	})
+	h := newHarness(v)
+	f := newFleet(h, rand.New(rand.NewPCG(seed, 11)))
+	f.warmAfter = coldWarmAfter
+	start := h.now
+	rate := coldLoad * float64(2*limits.Slots) / float64(meanService)
+	var queries []*coldQuery
+	queryOf := map[model.QueryID]*coldQuery{}
+	for h.now.Sub(start) < coldRunTime {
+		q := &coldQuery{at: h.now.Sub(start)}
+		draw := f.rng.Float64()
+		for draw >= coldClasses[q.class] {
+			q.class++
+		}
+		var subs []model.SubRequest
+		for i := range coldShards {
+			s := h.sub(i)
+			s.Class = q.class
+			s.Budget = budget
+			queryOf[s.Query] = q
+			subs = append(subs, s)
+		}
+		queries = append(queries, q)
+		h.send(subs...)
+		f.run(time.Duration(f.rng.ExpFloat64() / rate))
+	}
+	finish(f)
+	for id, t := range h.subs {
+		for _, r := range t.replies {
+			queryOf[id].count(r.Outcome)
+		}
+	}
+	return h, f, sumCold(queries)
+}
+
+func (q *coldQuery) count(outcome model.OutcomeCode) {
+	switch outcome {
+	case model.OutcomeOK:
+		q.answered++
+	case model.OutcomeShed:
+		q.shed++
+	default:
+		q.late++
+	}
+}
+
+func sumCold(queries []*coldQuery) coldResult {
+	whole, end := 0, len(queries)
+	for i, q := range queries {
+		if q.answered == coldShards {
+			whole++
+		}
+		if i >= warmWindow && queries[i-warmWindow].answered == coldShards {
+			whole--
+		}
+		if i >= warmWindow-1 && whole >= warmWindow*99/100 {
+			end = i + 1 - warmWindow
+			break
+		}
+	}
+	r := coldResult{warm: queries[min(end, len(queries)-1)].at}
+	for _, q := range queries {
+		if q.at >= coldPeriod {
+			break
+		}
+		r.total[q.class]++
+		r.answered[q.class] += q.answered
+		switch {
+		case q.late > 0:
+			r.late[q.class]++
+		case q.shed > 0:
+			r.shed[q.class]++
+		}
+	}
+	return r
+}
+
+// TestColdFleet guards the bound of cold servers and the answers to the first class under a
+// whole fleet's load, and reports how long the fleet takes to answer.
+func TestColdFleet(t *testing.T) {
+	for _, budget := range []time.Duration{100 * ms, 250 * ms, time.Second} {
+		t.Run(fmt.Sprint("budget=", budget), func(t *testing.T) {
+			var sum coldResult
+			for seed := range uint64(coldSeeds) {
+				h, f, r := runColdFleet(seed, budget)
+				if f.falls > 0 || len(h.faults.count) > 0 {
+					t.Errorf("seed %d: %d falls, %s", seed, f.falls, h.faults.String())
+				}
+				sum.add(r)
+			}
+			t.Log(sum.String())
+			is := is.New(t)
+			is.True(sum.warm/coldSeeds < time.Second)
+			is.Equal(sum.shed[0], 0)
+			is.True(sum.answered[0] > sum.total[0]*coldShards*99/100)
+		})
+	}
+}
