Check the invariants of queues and queries after every replayed event

Cause: Traffic.check was empty, so that a replay compared effects only and a fault in the counts showed up much later or never.

Ruled out: comparing attempts in flight with the slots of the present, since a template may lower the slots while attempts run; each attempt now keeps the limit that it was started under. Attempts of a previous owner are left out for the same reason.

--- a/core/admission/bench_test.go
+++ b/core/admission/bench_test.go
@@ -61,3 +61,23 @@
 		})
 	}
 }
+
+// BenchmarkCheck measures the invariants of keys with all slots in use and a short queue.
+func BenchmarkCheck(b *testing.B) {
+	for _, keys := range []int{8, 64, 1000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			h := newHarness(newView(keys))
+			var subs []model.SubRequest
+			for i := range 8 * keys {
+				subs = append(subs, h.sub(i%keys))
+			}
+			h.send(subs...)
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := h.owner.Check(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -18,6 +18,7 @@
 	server     *server
 	started    model.Time
 	until      model.Time // end of its timeout
+	limit      int        // of the server when it was started
 	generation uint64     // of the server when it was started
 	hedge      bool
 	cancelled  bool
@@ -100,6 +101,7 @@
 		server:     s,
 		started:    o.now,
 		until:      o.now.Add(timeout),
+		limit:      s.limitAt(o.now),
 		generation: s.generation,
 		hedge:      hedge,
 	}
--- a/core/admission/harness_test.go
+++ b/core/admission/harness_test.go
@@ -172,6 +172,9 @@
 	for _, e := range out.Take() {
 		h.apply(term, e, startedOn)
 	}
+	if err := term.owner.Check(); err != nil {
+		h.faults.add("check", "at %v: %v", h.now, err)
+	}
 	for _, l := range h.owner.Load(h.now) {
 		if startedOn[l.Server] && l.InFlight > l.Limit {
 			h.faults.add("over limit", "%s at %v: %d on %d", l.Server, h.now, l.InFlight, l.Limit)
--- a/core/invariants.go
+++ b/core/invariants.go
@@ -23,4 +23,12 @@
 
 func (c *Control) check(now model.Time) error { return nil }
 
-func (t *Traffic) check(now model.Time) error { return nil }
+func (t *Traffic) check(now model.Time) error {
+	if err := t.owner.Check(); err != nil {
+		return fmt.Errorf("admission: %w", err)
+	}
+	if err := t.queries.Check(); err != nil {
+		return fmt.Errorf("query: %w", err)
+	}
+	return nil
+}
--- a/core/query/driver_test.go
+++ b/core/query/driver_test.go
@@ -107,6 +107,9 @@
 	case event.Wake:
 		d.table.Wake(d.now, &out)
 	}
+	if err := d.table.Check(); err != nil {
+		panic(fmt.Sprintf("after %T: %v", ev, err))
+	}
 	for _, e := range out.Take() {
 		d.keep(e)
 		if d.seen != nil {
