Refuse every fault in settings and templates at its line

Cause: table tests over settings and templates found documents that were accepted with a fault, or refused at the wrong place: - "0" passed for a duration although it has no unit, null passed for a default, and an explicit zero (drainDelay "0s", coldSlots 0) was replaced by the default; - a fence of 1700000h overflowed the check against grace; - the store, the trace collector and backend servers could be given by host name, port 0 or a wildcard address, and two backend servers could share one address, so that their limits counted twice; - a template just under 1 MB passed although its quoted form exceeds what the store holds, and a comment that is not UTF-8 passed although it cannot be kept byte for byte; - duplicate routes and shards were reported at the list, an open string at a later line, and a hedge with one of its two fields lost the default of the other; - `gooseberrylock check` passed settings whose certificate files a daemon cannot load.

Ruled out: duplicate names, unknown fields, other case and text after the document were refused already; a deeply nested document does not overflow the stack.

Conclusion: defaults are set before decoding, so a zero is checked like any other value. The certificate files are read by settings.TLS.Load, which the daemon and the check share.

--- a/daemon.go
+++ b/daemon.go
@@ -79,7 +79,7 @@
 	}
 	d.log = newLogger(cfg.Log, cfg.Settings)
 	var err error
-	if d.tls, err = loadTLS(cfg.Settings.TLS); err != nil {
+	if d.tls, err = cfg.Settings.TLS.Load(); err != nil {
 		return nil, err
 	}
 	if d.tracing, err = newTracing(cfg); err != nil {
--- /dev/null
+++ b/internal/cli/check_test.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/gooseberrylock/gooseberrylock"
+	"github.com/gooseberrylock/gooseberrylock/settings"
+)
+
+// startDaemon does what gooseberrylockd does up to the point where it would serve.
+func startDaemon(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	_, err = gooseberrylock.New(gooseberrylock.Config{Settings: *s})
+	return err
+}
+
+// TestCheckAgreesWithDaemon guards against a check that passes settings which a daemon
+// refuses, or the reverse.
+func TestCheckAgreesWithDaemon(t *testing.T) {
+	const text = `{
+  "vm": "a", "group": "g", "zone": "z", "store": {"url": "http://127.0.0.1:1"}, %s
+  "addresses": {"caller": "127.0.0.1:0", "peer": "127.0.0.1:0", "operator": "127.0.0.1:0"},
+}`
+	for _, tc := range []struct {
+		name, extra string
+		ok          bool
+	}{
+		{"valid", ``, true},
+		{"unknown field", `"x": 1,`, false},
+		{"missing certificate", `"tls": {"cert": "none.pem", "key": "none.pem"},`, false},
+		{"duration", `"timing": {"grace": "1200"},`, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(t.TempDir(), "s.jsonc")
+			is.NoErr(os.WriteFile(file, fmt.Appendf(nil, text, tc.extra), 0o600))
+			var out, errOut bytes.Buffer
+			code := Main([]string{"check", "--settings", file}, &out, &errOut)
+			err := startDaemon(file)
+			is.Equal(err == nil, tc.ok)
+			is.Equal(code == ExitOK, tc.ok)
+			if err != nil {
+				is.True(strings.Contains(errOut.String(), err.Error()))
+			}
+		})
+	}
+}
+
+// TestCheckTemplate guards against a check that exits with 0 for a template with a fault.
+func TestCheckTemplate(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "t.jsonc")
+	is.NoErr(os.WriteFile(file, []byte("{\n\"customer\": \"x\"}"), 0o600))
+	var out, errOut bytes.Buffer
+	is.Equal(Main([]string{"check", "--template", file}, &out, &errOut), ExitUsage)
+	is.True(strings.Contains(errOut.String(), file+":1: field \"zones\""))
+}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -131,6 +131,16 @@
 	}
 }
 
+// checkSettings reads what a daemon reads at its start.
+func checkSettings(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	_, err = s.TLS.Load()
+	return err
+}
+
 func (a *app) checkCommand() *cobra.Command {
 	var settingsFiles, templateFiles []string
 	cmd := &cobra.Command{
@@ -142,7 +152,7 @@
 				return fail(ExitUsage, "name at least one file with --settings or --template")
 			}
 			for _, f := range settingsFiles {
-				if _, err := settings.Load(f); err != nil {
+				if err := checkSettings(f); err != nil {
 					return &exitError{code: ExitUsage, err: err}
 				}
 			}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -6,8 +6,11 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
+	"reflect"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
@@ -45,17 +48,111 @@
 
 // Decode parses text into v. file is used in errors only.
 func Decode(file string, text []byte, v any) (*Document, error) {
+	if line := invalidUTF8(text); line > 0 {
+		return nil, &Error{File: file, Line: line, Reason: "text is not UTF-8"}
+	}
 	std, err := hujson.Standardize(bytes.Clone(text))
 	if err != nil {
-		return nil, &Error{File: file, Line: lineInMessage(err), Reason: err.Error()}
+		if line := openString(text); line > 0 {
+			return nil, &Error{File: file, Line: line, Reason: "string is not closed on its line"}
+		}
+		return nil, &Error{File: file, Line: lineInMessage(err), Reason: withoutPosition(err)}
 	}
 	d := &Document{file: file, text: std}
+	if err := d.rejectNull(); err != nil {
+		return nil, err
+	}
 	if err := json.Unmarshal(std, v, json.RejectUnknownMembers(true)); err != nil {
 		return nil, d.convert(err)
 	}
 	return d, nil
 }
 
+// rejectNull refuses null, which would otherwise silently mean the default of a field.
+func (d *Document) rejectNull() error {
+	dec := jsontext.NewDecoder(bytes.NewReader(d.text))
+	for {
+		tok, err := dec.ReadToken()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return d.convert(err)
+		}
+		if tok.Kind() == 'n' {
+			return d.faultAt(dec.InputOffset()-1, "null is not a value; leave the field out", dec.StackPointer())
+		}
+	}
+}
+
+func (d *Document) faultAt(offset int64, reason string, p jsontext.Pointer) error {
+	return &Error{File: d.file, Line: d.line(offset), Field: fieldPath(p), Reason: reason}
+}
+
+// invalidUTF8 returns the first line that is not UTF-8, or 0. Comments count too, since the
+// store keeps the whole text.
+func invalidUTF8(text []byte) int {
+	line := 0
+	for part := range bytes.Lines(text) {
+		line++
+		if !utf8.Valid(part) {
+			return line
+		}
+	}
+	return 0
+}
+
+// withoutPosition drops the "hujson: line 3, column 5: " of a message, since Error states
+// the line itself.
+func withoutPosition(err error) string {
+	_, reason, ok := strings.Cut(err.Error(), ": line ")
+	if !ok {
+		return err.Error()
+	}
+	_, reason, ok = strings.Cut(reason, ": ")
+	if !ok {
+		return err.Error()
+	}
+	return reason
+}
+
+// openString returns the first line with a string that does not end on it, or 0. The
+// decoder would report the next quote instead, on a later line.
+func openString(text []byte) int {
+	line := 1
+	var in byte // '"' in a string, '/' in a line comment, '*' in a block comment, or 0
+	for i := 0; i < len(text); i++ {
+		next := byte(0)
+		if i+1 < len(text) {
+			next = text[i+1]
+		}
+		c := text[i]
+		switch {
+		case c == '\n' && in == '"':
+			return line
+		case c == '\n':
+			line++
+			if in == '/' {
+				in = 0
+			}
+		case in == '"' && c == '\\' && next != '\n':
+			i++
+		case c == '"' && (in == 0 || in == '"'):
+			in ^= '"'
+		case in == 0 && c == '/' && (next == '/' || next == '*'):
+			in = next
+			i++
+		case in == '*' && c == '*' && next == '/':
+			in = 0
+			i++
+		}
+	}
+	if in == '"' {
+		return line
+	}
+	return 0
+}
+
 func lineInMessage(err error) int {
 	var line int
 	if i := strings.Index(err.Error(), "line "); i >= 0 {
@@ -92,15 +189,33 @@
 	if errors.Is(e.Err, json.ErrUnknownName) {
 		return "unknown field"
 	}
+	if e.GoType == reflect.TypeFor[Duration]() && e.JSONKind != '"' {
+		return fmt.Sprintf("a JSON %s is not a duration with a unit, such as \"150ms\" or \"2s\"", kindName(e.JSONKind))
+	}
+	if e.Err != nil && len(e.JSONValue) > 0 {
+		return fmt.Sprintf("%s cannot be used as %v: %v", e.JSONValue, e.GoType, e.Err)
+	}
 	if e.Err != nil {
 		return e.Err.Error()
 	}
 	if e.GoType != nil {
-		return fmt.Sprintf("a JSON %v cannot be used as %v", e.JSONKind, e.GoType)
+		return fmt.Sprintf("a JSON %s cannot be used as %v", kindName(e.JSONKind), e.GoType)
 	}
 	return e.Error()
 }
 
+func kindName(k jsontext.Kind) string {
+	switch k {
+	case '{':
+		return "object"
+	case '[':
+		return "array"
+	case 't', 'f':
+		return "boolean"
+	}
+	return k.String()
+}
+
 func syntacticReason(e *jsontext.SyntacticError) string {
 	if errors.Is(e.Err, jsontext.ErrDuplicateName) {
 		return "duplicate field name"
@@ -116,7 +231,7 @@
 		return 0
 	}
 	// The offset may lie before the white space that precedes the value.
-	for offset < int64(len(d.text)) && strings.IndexByte(" \t\r\n,", d.text[offset]) >= 0 {
+	for offset < int64(len(d.text)) && strings.IndexByte(" \t\r\n,:", d.text[offset]) >= 0 {
 		offset++
 	}
 	return bytes.Count(d.text[:offset], []byte{'\n'}) + 1
@@ -174,7 +289,8 @@
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
-	if err != nil {
+	// ParseDuration takes "0" without a unit.
+	if err != nil || !strings.HasSuffix(string(text), "s") && !strings.HasSuffix(string(text), "m") && !strings.HasSuffix(string(text), "h") {
 		return fmt.Errorf("%q is not a duration with a unit, such as \"150ms\" or \"2s\"", text)
 	}
 	*d = Duration(v)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,7 +72,7 @@
 
 // Traces says where spans go.
 type Traces struct {
-	Endpoint string  `json:"endpoint"` // OTLP over HTTP, host:port; "" for none
+	Endpoint string  `json:"endpoint"` // OTLP over HTTP, IP number and port; "" for none
 	Ratio    float64 `json:"ratio"`    // share of requests that are traced, 0 to 1; default 0.01
 }
 
@@ -89,6 +89,9 @@
 	defaultDrainDelay   = 2 * time.Second
 	defaultTraceRatio   = 0.01
 	maxWorkers          = 256
+	maxQueriesLimit     = 1_000_000
+	// maxGrace bounds Timing.Grace; an owner that crashed stays unserved for that time.
+	maxGrace = time.Minute
 )
 
 var validName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
@@ -106,12 +109,13 @@
 // the line and the field.
 func Parse(file string, text []byte) (*Settings, error) {
 	s := &Settings{}
-	s.Traces.Ratio = defaultTraceRatio
+	// The defaults are set before decoding, so that a zero in the file is checked like any
+	// other value.
+	s.setDefaults()
 	doc, err := strictjson.Decode(file, text, s)
 	if err != nil {
 		return nil, err
 	}
-	s.setDefaults()
 	if err := s.validate(doc); err != nil {
 		return nil, err
 	}
@@ -119,26 +123,15 @@
 }
 
 func (s *Settings) setDefaults() {
-	setDuration(&s.Store.Timeout, defaultStoreTimeout)
-	setDuration(&s.Timing.Heartbeat, core.DefaultHeartbeatInterval)
-	setDuration(&s.Timing.Fence, core.DefaultFence)
-	setDuration(&s.Timing.Grace, core.DefaultGrace)
-	setDuration(&s.Traffic.DrainDelay, defaultDrainDelay)
-	if s.Traffic.Workers == 0 {
-		s.Traffic.Workers = defaultWorkers
-	}
-	if s.Traffic.MaxQueries == 0 {
-		s.Traffic.MaxQueries = defaultMaxQueries
-	}
-	if s.Log.Level == "" {
-		s.Log.Level = "info"
-	}
-}
-
-func setDuration(d *strictjson.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = strictjson.Duration(v)
-	}
+	s.Store.Timeout = strictjson.Duration(defaultStoreTimeout)
+	s.Timing.Heartbeat = strictjson.Duration(core.DefaultHeartbeatInterval)
+	s.Timing.Fence = strictjson.Duration(core.DefaultFence)
+	s.Timing.Grace = strictjson.Duration(core.DefaultGrace)
+	s.Traffic.DrainDelay = strictjson.Duration(defaultDrainDelay)
+	s.Traffic.Workers = defaultWorkers
+	s.Traffic.MaxQueries = defaultMaxQueries
+	s.Traces.Ratio = defaultTraceRatio
+	s.Log.Level = "info"
 }
 
 func (s *Settings) validate(doc *strictjson.Document) error {
@@ -174,6 +167,9 @@
 		if other, ok := seen[addr]; ok && addr.Port() != 0 {
 			return doc.Fault(fmt.Sprintf("%s is also the address for %s", addr, other), "addresses", a.field)
 		}
+		if addr.Addr().Zone() != "" {
+			return doc.Fault("must not have an IPv6 scope", "addresses", a.field)
+		}
 		seen[addr] = a.field
 	}
 	peer := netip.MustParseAddrPort(s.Addresses.Peer)
@@ -185,9 +181,12 @@
 
 func (s *Settings) validateStore(doc *strictjson.Document) error {
 	u, err := url.Parse(s.Store.URL)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
 		return doc.Fault(fmt.Sprintf("%q is not an http or https URL", s.Store.URL), "store", "url")
 	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		return doc.Fault(fmt.Sprintf("host %q is not an IP number", u.Hostname()), "store", "url")
+	}
 	if t := time.Duration(s.Store.Timeout); t < 10*time.Millisecond || t > time.Minute {
 		return doc.Fault("must be from 10ms to 1m", "store", "timeout")
 	}
@@ -199,6 +198,12 @@
 	if heartbeat < 10*time.Millisecond || heartbeat > 5*time.Second {
 		return doc.Fault("must be from 10ms to 5s", "timing", "heartbeat")
 	}
+	if grace <= 0 || grace > maxGrace {
+		return doc.Fault(fmt.Sprintf("must be above 0s and at most %v", maxGrace), "timing", "grace")
+	}
+	if fence > grace {
+		return doc.Fault(fmt.Sprintf("must be at most the grace (%v)", grace), "timing", "fence")
+	}
 	if fence < 3*heartbeat {
 		return doc.Fault(fmt.Sprintf("must be at least three heartbeats (%v), or one lost heartbeat ends a lease", 3*heartbeat), "timing", "fence")
 	}
@@ -213,8 +218,8 @@
 	if s.Traffic.Workers < 1 || s.Traffic.Workers > maxWorkers {
 		return doc.Fault(fmt.Sprintf("must be from 1 to %d", maxWorkers), "traffic", "workers")
 	}
-	if s.Traffic.MaxQueries < 1 {
-		return doc.Fault("must be at least 1", "traffic", "maxQueries")
+	if s.Traffic.MaxQueries < 1 || s.Traffic.MaxQueries > maxQueriesLimit {
+		return doc.Fault(fmt.Sprintf("must be from 1 to %d", maxQueriesLimit), "traffic", "maxQueries")
 	}
 	if d := time.Duration(s.Traffic.DrainDelay); d < 0 || d > time.Minute {
 		return doc.Fault("must be from 0s to 1m", "traffic", "drainDelay")
@@ -242,6 +247,11 @@
 	default:
 		return doc.Fault(fmt.Sprintf("%q is not debug, info, warn or error", s.Log.Level), "log", "level")
 	}
+	if s.Traces.Endpoint != "" {
+		if _, err := netip.ParseAddrPort(s.Traces.Endpoint); err != nil {
+			return doc.Fault(fmt.Sprintf("%q is not an IP number and port", s.Traces.Endpoint), "traces", "endpoint")
+		}
+	}
 	if s.Traces.Ratio < 0 || s.Traces.Ratio > 1 {
 		return doc.Fault("must be from 0 to 1", "traces", "ratio")
 	}
--- a/tlsconfig.go
+++ b/settings/tls.go
@@ -1,4 +1,4 @@
-package gooseberrylock
+package settings
 
 import (
 	"crypto/tls"
@@ -6,13 +6,11 @@
 	"os"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/gooseberrylock/gooseberrylock/settings"
 )
 
-// loadTLS returns nil if no certificate is set. With a CA both ends must present a
+// Load reads the PEM files. It returns nil if no certificate is set. With a CA both ends must present a
 // certificate that it signed.
-func loadTLS(s settings.TLS) (*tls.Config, error) {
+func (s TLS) Load() (*tls.Config, error) {
 	if s.Cert == "" {
 		return nil, nil
 	}
--- a/template/template.go
+++ b/template/template.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/jsontext"
+
 	"github.com/gooseberrylock/gooseberrylock/internal/strictjson"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
@@ -23,8 +25,15 @@
 	DefaultClass           = "default"
 )
 
-// maxSize is the largest value that the platform's store holds, in bytes.
-const maxSize = 1 << 20
+// maxSize is the largest value that the platform's store holds, in bytes. The text is kept
+// there as a JSON string, together with at most envelopeSize bytes about its write.
+const (
+	maxSize      = 1 << 20
+	envelopeSize = 512
+)
+
+// maxConnections is the number of TCP ports of one client address.
+const maxConnections = 65535
 
 // maxWarmAfter bounds the completions that end a cold start.
 const maxWarmAfter = 100000
@@ -56,8 +65,8 @@
 }
 
 type hedge struct {
-	Percentile float64 `json:"percentile"`
-	Budget     float64 `json:"budget"`
+	Percentile *float64 `json:"percentile"`
+	Budget     *float64 `json:"budget"`
 }
 
 type version struct {
@@ -71,8 +80,8 @@
 	Slots       int                 `json:"slots"`
 	Connections int                 `json:"connections"`
 	ConnectCost strictjson.Duration `json:"connectCost"`
-	ColdSlots   int                 `json:"coldSlots"`
-	WarmAfter   int                 `json:"warmAfter"`
+	ColdSlots   *int                `json:"coldSlots"`
+	WarmAfter   *int                `json:"warmAfter"`
 }
 
 type shard struct {
@@ -90,15 +99,15 @@
 // Parse reads a template in JSON with comments. file is used in errors only; an error
 // names the line and the field.
 func Parse(file string, text []byte) (*model.Template, error) {
-	if len(text) > maxSize {
-		return nil, &strictjson.Error{File: file, Reason: fmt.Sprintf("%d bytes, more than the %d that the store holds", len(text), maxSize)}
+	if err := checkSize(file, text); err != nil {
+		return nil, err
 	}
 	var doc document
 	d, err := strictjson.Decode(file, text, &doc)
 	if err != nil {
 		return nil, err
 	}
-	c := &compiler{doc: d, servers: make(map[string]string)}
+	c := &compiler{doc: d, servers: make(map[string]bool), addresses: make(map[netip.AddrPort]string)}
 	t, err := c.template(&doc)
 	if err != nil {
 		return nil, err
@@ -107,11 +116,33 @@
 	return t, nil
 }
 
+// checkSize refuses a text that the store would refuse.
+func checkSize(file string, text []byte) error {
+	size := len(text)
+	if size <= maxSize {
+		// Text that is not UTF-8 is refused with its line when it is decoded.
+		quoted, _ := jsontext.AppendQuote(nil, text)
+		size = len(quoted) + envelopeSize
+	}
+	if size > maxSize {
+		return &strictjson.Error{File: file, Reason: fmt.Sprintf("takes %d bytes as an object in the store, which holds at most %d", size, maxSize)}
+	}
+	return nil
+}
+
+func or[T any](p *T, fallback T) T {
+	if p == nil {
+		return fallback
+	}
+	return *p
+}
+
 // compiler validates a document while it builds the model.
 type compiler struct {
-	doc     *strictjson.Document
-	zones   []string
-	servers map[string]string // address by backend server ID
+	doc       *strictjson.Document
+	zones     []string
+	servers   map[string]bool           // by backend server ID
+	addresses map[netip.AddrPort]string // backend server ID by address
 }
 
 func (c *compiler) name(value string, path ...any) error {
@@ -147,14 +178,12 @@
 		if err != nil {
 			return nil, err
 		}
+		if slices.ContainsFunc(t.Routes, func(o model.RouteConfig) bool { return o.ID == r.ID }) {
+			return nil, c.doc.Fault(fmt.Sprintf("route %q is defined twice", r.ID), "routes", i, "route")
+		}
 		t.Routes = append(t.Routes, *r)
 	}
 	slices.SortFunc(t.Routes, func(a, b model.RouteConfig) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	for i := 1; i < len(t.Routes); i++ {
-		if t.Routes[i].ID == t.Routes[i-1].ID {
-			return nil, c.doc.Fault(fmt.Sprintf("route %q is defined twice", t.Routes[i].ID), "routes")
-		}
-	}
 	return t, nil
 }
 
@@ -174,8 +203,8 @@
 		HedgeBudget:     DefaultHedgeBudget,
 	}
 	if r.Hedge != nil {
-		out.HedgePercentile = r.Hedge.Percentile
-		out.HedgeBudget = r.Hedge.Budget
+		out.HedgePercentile = or(r.Hedge.Percentile, DefaultHedgePercentile)
+		out.HedgeBudget = or(r.Hedge.Budget, DefaultHedgeBudget)
 	}
 	if err := c.routeBounds(out, i); err != nil {
 		return nil, err
@@ -254,19 +283,19 @@
 	if len(v.Shards) == 0 {
 		return nil, c.doc.Fault("at least one shard is needed", "routes", i, "versions", j, "shards")
 	}
+	seen := make(map[model.ShardID]bool, len(v.Shards))
 	for k := range v.Shards {
 		s, err := c.shard(&v.Shards[k], i, j, k)
 		if err != nil {
 			return nil, err
 		}
+		if seen[s.ID] {
+			return nil, c.doc.Fault(fmt.Sprintf("shard %q is defined twice", s.ID), "routes", i, "versions", j, "shards", k, "shard")
+		}
+		seen[s.ID] = true
 		out.Shards = append(out.Shards, s)
 	}
 	slices.SortFunc(out.Shards, func(a, b model.ShardConfig) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	for k := 1; k < len(out.Shards); k++ {
-		if out.Shards[k].ID == out.Shards[k-1].ID {
-			return nil, c.doc.Fault(fmt.Sprintf("shard %q is defined twice", out.Shards[k].ID), "routes", i, "versions", j, "shards")
-		}
-	}
 	return out, nil
 }
 
@@ -275,25 +304,22 @@
 		Slots:       l.Slots,
 		Connections: l.Connections,
 		ConnectCost: time.Duration(l.ConnectCost),
-		ColdSlots:   l.ColdSlots,
-		WarmAfter:   l.WarmAfter,
+		ColdSlots:   or(l.ColdSlots, DefaultColdSlots),
+		WarmAfter:   or(l.WarmAfter, DefaultWarmAfter),
 	}
-	if out.WarmAfter == 0 {
-		out.WarmAfter = DefaultWarmAfter
-	}
-	if out.WarmAfter < 0 || out.WarmAfter > maxWarmAfter {
+	if out.WarmAfter < 1 || out.WarmAfter > maxWarmAfter {
 		return out, c.doc.Fault(fmt.Sprintf("must be from 1 to %d", maxWarmAfter), "routes", i, "versions", j, "limits", "warmAfter")
 	}
-	if out.ColdSlots == 0 {
-		out.ColdSlots = DefaultColdSlots
-	}
-	if out.Slots < 1 {
-		return out, c.doc.Fault("must be at least 1", "routes", i, "versions", j, "limits", "slots")
+	if out.Slots < 1 || out.Slots > maxConnections {
+		return out, c.doc.Fault(fmt.Sprintf("must be from 1 to %d", maxConnections), "routes", i, "versions", j, "limits", "slots")
 	}
 	if out.Connections < out.Slots {
 		return out, c.doc.Fault(fmt.Sprintf("must be at least the %d slots, since each attempt needs a connection", out.Slots), "routes", i, "versions", j, "limits", "connections")
 	}
-	if out.ColdSlots < 0 || out.ColdSlots > out.Slots {
+	if out.Connections > maxConnections {
+		return out, c.doc.Fault(fmt.Sprintf("must be at most %d", maxConnections), "routes", i, "versions", j, "limits", "connections")
+	}
+	if out.ColdSlots < 1 || out.ColdSlots > out.Slots {
 		return out, c.doc.Fault(fmt.Sprintf("must be from 1 to the %d slots", out.Slots), "routes", i, "versions", j, "limits", "coldSlots")
 	}
 	if out.ConnectCost < 0 || out.ConnectCost > time.Second {
@@ -331,15 +357,28 @@
 	if err := c.name(b.ID, append(at, "id")...); err != nil {
 		return out, err
 	}
-	if _, ok := c.servers[b.ID]; ok {
+	if c.servers[b.ID] {
 		return out, c.doc.Fault(fmt.Sprintf("backend server %q serves two shards; its limits would be counted twice", b.ID), append(at, "id")...)
 	}
-	c.servers[b.ID] = b.Address
+	c.servers[b.ID] = true
 	if !slices.Contains(c.zones, b.Zone) {
 		return out, c.doc.Fault(fmt.Sprintf("%q is not one of the customer's zones", b.Zone), append(at, "zone")...)
 	}
-	if _, err := netip.ParseAddrPort(b.Address); err != nil {
-		return out, c.doc.Fault(fmt.Sprintf("%q is not an IP number and port", b.Address), append(at, "address")...)
+	return out, c.address(b, append(at, "address"))
+}
+
+func (c *compiler) address(b *backendServer, at []any) error {
+	addr, err := netip.ParseAddrPort(b.Address)
+	if err != nil {
+		return c.doc.Fault(fmt.Sprintf("%q is not an IP number and port", b.Address), at...)
 	}
-	return out, nil
+	if addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().Zone() != "" {
+		return c.doc.Fault(fmt.Sprintf("%q is not the address of a server", b.Address), at...)
+	}
+	addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+	if other, ok := c.addresses[addr]; ok {
+		return c.doc.Fault(fmt.Sprintf("%s is also the address of backend server %q; its limits would be counted twice", addr, other), at...)
+	}
+	c.addresses[addr] = b.ID
+	return nil
 }
