--- a/control.go
+++ b/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/gooseberrylock/gooseberrylock/core/event"
 	"github.com/gooseberrylock/gooseberrylock/internal/mailbox"
 	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/store"
 )
 
 const (
@@ -213,6 +215,10 @@
 	defer cancel()
 	obj, ok, err := c.d.store.Get(ctx, key)
 	c.d.metrics.storeCalls.Inc(1)
+	if errors.Is(err, store.ErrUnreadable) {
+		c.put(event.ObjectsReceived{FromStore: true}) // the store is up
+		return
+	}
 	if err != nil {
 		c.put(event.StoreFailed{Op: "read " + key.String(), Reason: err.Error()})
 		return
--- a/daemon.go
+++ b/daemon.go
@@ -95,7 +95,7 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	d.network = peer.New(peer.Config{Self: cfg.Settings.VM, TLS: d.tls}, (*peerHandler)(d))
+	d.network = peer.New(peer.Config{Self: cfg.Settings.VM, TLS: d.tls, Unreadable: d.unreadable}, (*peerHandler)(d))
 	d.buildLoops()
 	return d, nil
 }
@@ -105,11 +105,20 @@
 	if d.store != nil {
 		return nil
 	}
-	s, err := store.NewHTTP(d.cfg.Settings.Store.URL, &http.Client{})
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil // the store is reached by its IP number
+	s, err := store.NewHTTP(d.cfg.Settings.Store.URL, &http.Client{Transport: transport}, d.unreadable)
 	d.store = s
 	return err
 }
 
+// unreadable reports an object of the store or of a peer that this version cannot read.
+func (d *Daemon) unreadable(key model.ObjectKey, version uint64, err error) {
+	d.metrics.unreadable.Inc(1)
+	d.log.Warn().Str("step", "read object").Str("object", key.String()).Uint64("version", version).
+		Err(err).Msg("object left out")
+}
+
 func (d *Daemon) listen() error {
 	a := d.cfg.Settings.Addresses
 	for _, l := range []struct {
--- a/metrics.go
+++ b/metrics.go
@@ -31,6 +31,7 @@
 	attempts      metrics.Timer
 	hedges        metrics.Counter
 	storeCalls    metrics.Counter
+	unreadable    metrics.Counter
 	answers       metrics.Counter
 	partial       metrics.Counter
 	needed        metrics.Counter
@@ -49,6 +50,7 @@
 		attempts:      newTimer(r, "attempt.latency"),
 		hedges:        metrics.NewRegisteredCounter("attempt.hedges", r),
 		storeCalls:    metrics.NewRegisteredCounter("store.calls", r),
+		unreadable:    metrics.NewRegisteredCounter("store.objects.unreadable", r),
 		answers:       metrics.NewRegisteredCounter("answers", r),
 		partial:       metrics.NewRegisteredCounter("answers.partial", r),
 		needed:        metrics.NewRegisteredCounter("answers.attempts.needed", r),
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -19,6 +19,7 @@
 	"github.com/gooseberrylock/gooseberrylock/core/event"
 	"github.com/gooseberrylock/gooseberrylock/model"
 	"github.com/gooseberrylock/gooseberrylock/peer/peerpb"
+	"github.com/gooseberrylock/gooseberrylock/store"
 )
 
 const (
@@ -50,6 +51,8 @@
 type Config struct {
 	Self model.VM
 	TLS  *tls.Config // nil for plain TCP
+	// Unreadable is told of each pulled object that this version cannot read; nil for none.
+	Unreadable store.UnreadableFunc
 }
 
 // Network holds the connections to all peers.
@@ -69,6 +72,9 @@
 
 // New returns a network without connections.
 func New(cfg Config, handler Handler) *Network {
+	if cfg.Unreadable == nil {
+		cfg.Unreadable = func(model.ObjectKey, uint64, error) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Network{
 		cfg:      cfg,
@@ -192,7 +198,8 @@
 	for _, p := range res.GetObjects() {
 		o, err := objectFromPB(p)
 		if err != nil {
-			return nil, 0, eris.Wrapf(err, "pull from peer at %s", address)
+			n.cfg.Unreadable(o.Key, o.Version, eris.Wrapf(err, "pull from peer at %s", address))
+			continue
 		}
 		objects = append(objects, o)
 	}
@@ -236,7 +243,8 @@
 	for i := range objects {
 		o, err := objectToPB(&objects[i])
 		if err != nil {
-			return nil, err
+			s.n.cfg.Unreadable(objects[i].Key, objects[i].Version, err)
+			continue
 		}
 		res.Objects = append(res.Objects, o)
 	}
--- a/store/codec.go
+++ b/store/codec.go
@@ -9,8 +9,15 @@
 	"github.com/gooseberrylock/gooseberrylock/template"
 )
 
-// ErrUnknownKind is returned for an object of a kind that this version does not know.
-var ErrUnknownKind = eris.New("unknown kind of object")
+var (
+	// ErrUnknownKind is returned for an object of a kind that this version does not know.
+	ErrUnknownKind = eris.New("unknown kind of object")
+	// ErrUnreadable is returned for an object that the store holds but that this version
+	// cannot read. The store itself is well.
+	ErrUnreadable = eris.New("object cannot be read by this version")
+	// ErrNoContent is returned for an object without the content that its kind asks for.
+	ErrNoContent = eris.New("object has no content")
+)
 
 // record is the data of an object as it is kept in the store.
 type record struct {
@@ -34,8 +41,14 @@
 
 func encodeValue(o *model.Object) (jsontext.Value, error) {
 	var v any
+	if o.Template == nil && o.Zone == nil && o.Automation == nil && o.Move == nil && o.Roster == nil {
+		return nil, eris.Wrapf(ErrNoContent, "object %s", o.Key)
+	}
 	switch o.Key.Kind {
 	case model.ObjectTemplate:
+		if o.Template == nil {
+			return nil, eris.Wrapf(ErrNoContent, "object %s", o.Key)
+		}
 		v = o.Template.Text
 	case model.ObjectZone:
 		v = o.Zone
@@ -49,6 +62,9 @@
 		return nil, eris.Wrapf(ErrUnknownKind, "object %s", o.Key)
 	}
 	data, err := json.Marshal(v, json.Deterministic(true))
+	if err == nil && string(data) == "null" {
+		err = ErrNoContent
+	}
 	return data, eris.Wrapf(err, "encode object %s", o.Key)
 }
 
@@ -76,8 +92,14 @@
 			return err
 		}
 		t, err := template.Parse(o.Key.String(), []byte(text))
+		if err != nil {
+			return err
+		}
+		if string(t.Customer) != o.Key.Name {
+			return eris.Errorf("the template is for customer %s", t.Customer)
+		}
 		o.Template = t
-		return err
+		return nil
 	case model.ObjectZone:
 		return unmarshal(data, &o.Zone)
 	case model.ObjectAutomation:
@@ -91,6 +113,9 @@
 }
 
 func unmarshal[T any](data []byte, into **T) error {
+	if string(data) == "null" || len(data) == 0 {
+		return ErrNoContent
+	}
 	v := new(T)
 	if err := json.Unmarshal(data, v); err != nil {
 		return err
--- a/store/store.go
+++ b/store/store.go
@@ -18,20 +18,24 @@
 
 // Store is the part of the platform's object API that the daemons use.
 type Store interface {
-	// Get returns an object. The second result is false if it does not exist.
+	// Get returns an object. The second result is false if it does not exist. The error is
+	// ErrUnreadable if it exists but this version cannot read it.
 	Get(ctx context.Context, key model.ObjectKey) (model.Object, bool, error)
 	// Put writes an object if its version is ifVersion; 0 means that it must not exist. The
 	// outcome tells whether anything was written.
 	Put(ctx context.Context, obj model.Object, ifVersion uint64) PutResult
 	// List returns the objects that changed after a revision, in the order of their versions,
 	// and the revision up to which the list is complete. It waits up to wait for a change.
+	// Objects that this version cannot read are left out, so that one of them does not keep
+	// the others from being applied.
 	List(ctx context.Context, since uint64, wait time.Duration) ([]model.Object, uint64, error)
 	// VMs returns the platform's lagging list of VMs.
 	VMs(ctx context.Context) ([]event.ListedVM, error)
 }
 
 // PutResult is the outcome of Put. Object is the object as stored now, for event.WriteOK
-// and event.WriteConflict.
+// and event.WriteConflict; after a conflict with an object that this version cannot read, it
+// has only the key, and Err is ErrUnreadable.
 type PutResult struct {
 	Outcome event.WriteOutcome
 	Object  model.Object
@@ -40,17 +44,25 @@
 
 // HTTP is the adapter for the platform's HTTP interface.
 type HTTP struct {
-	client *api.Client
-	url    string
+	client     *api.Client
+	url        string
+	unreadable UnreadableFunc
 }
 
-// NewHTTP returns an adapter. client carries timeouts and TLS.
-func NewHTTP(url string, client *http.Client) (*HTTP, error) {
+// UnreadableFunc is told of each object that was left out because this version cannot
+// read it. It must not block.
+type UnreadableFunc func(key model.ObjectKey, version uint64, err error)
+
+// NewHTTP returns an adapter. client carries timeouts and TLS; unreadable may be nil.
+func NewHTTP(url string, client *http.Client, unreadable UnreadableFunc) (*HTTP, error) {
 	c, err := api.NewClient(url, api.WithClient(client))
 	if err != nil {
 		return nil, eris.Wrapf(err, "store at %s", url)
 	}
-	return &HTTP{client: c, url: url}, nil
+	if unreadable == nil {
+		unreadable = func(model.ObjectKey, uint64, error) {}
+	}
+	return &HTTP{client: c, url: url, unreadable: unreadable}, nil
 }
 
 // Get implements Store.
@@ -63,13 +75,16 @@
 	if !ok {
 		return model.Object{Key: key}, false, nil
 	}
-	m, err := fromAPI(obj)
+	m, err := h.fromAPI(obj)
 	return m, err == nil, err
 }
 
 // Put implements Store.
 func (h *HTTP) Put(ctx context.Context, obj model.Object, ifVersion uint64) PutResult {
 	data, err := Encode(obj)
+	if err == nil && obj.Deleted {
+		err = eris.Wrapf(ErrNoContent, "put %s", obj.Key)
+	}
 	if err != nil {
 		return PutResult{Outcome: event.WriteFailed, Err: err}
 	}
@@ -83,12 +98,13 @@
 	}
 	switch r := res.(type) {
 	case *api.Object:
-		m, err := fromAPI(r)
-		return PutResult{Outcome: event.WriteOK, Object: m, Err: err}
+		stored := obj
+		stored.Version = uint64(r.Version)
+		return PutResult{Outcome: event.WriteOK, Object: stored}
 	case *api.Conflict:
 		m := model.Object{Key: obj.Key}
 		if cur, ok := r.Current.Get(); ok {
-			m, err = fromAPI(&cur)
+			m, err = h.fromAPI(&cur)
 		}
 		return PutResult{Outcome: event.WriteConflict, Object: m, Err: err}
 	}
@@ -119,12 +135,9 @@
 	}
 	objects := make([]model.Object, 0, len(res.Objects))
 	for i := range res.Objects {
-		m, err := fromAPI(&res.Objects[i])
-		if errors.Is(err, ErrUnknownKind) {
-			continue
-		}
+		m, err := h.fromAPI(&res.Objects[i])
 		if err != nil {
-			return nil, 0, err
+			continue
 		}
 		objects = append(objects, m)
 	}
@@ -153,7 +166,13 @@
 	return eris.Wrapf(err, "store at %s: %s", h.url, step)
 }
 
-func fromAPI(o *api.Object) (model.Object, error) {
+// fromAPI reads an object. On failure it reports the object and returns only its key.
+func (h *HTTP) fromAPI(o *api.Object) (model.Object, error) {
 	key := model.ObjectKey{Kind: model.ObjectKind(o.Kind), Name: o.Name}
-	return Decode(key, uint64(o.Version), o.Deleted.Or(false), []byte(o.Data))
+	m, err := Decode(key, uint64(o.Version), o.Deleted.Or(false), []byte(o.Data))
+	if err == nil {
+		return m, nil
+	}
+	h.unreadable(key, uint64(o.Version), err)
+	return model.Object{Key: key}, eris.Wrapf(ErrUnreadable, "%s version %d at store %s: %v", key, o.Version, h.url, err)
 }
