backend: unique attempt IDs, changed limits, and a way to forget servers

Cause: - X-Attempt-Id was the entry VM with the attempt's number. The traffic workers of a daemon number their attempts independently and a restarted daemon starts anew, so two attempts could carry one ID. It is now the owner's VM, its boot and a count over all workers. - Limits of a server were read once; a changed limit had no effect until a restart. A change now starts a new pool and the old one closes each connection when its attempt ends. - Pools of servers that left the configuration were kept for ever. Keep forgets them, called when the view carries another configuration. - An attempt that waited for a connection until its timeout was reported as one that may have run. It is now a refused connection, which is proven not run.

Ruled out: net/http does not send a POST again after the server took it, on a new connection, a kept one, after part of an answer or while the server closes an idle connection; 200 submits in a row against such a server were each seen at most once. Cancellation frees the slot at the searcher.

Conclusion: outcomes of the adapter agree with what the server saw in every case tested.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -9,7 +9,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,6 +26,8 @@
 	// Execute runs one attempt until it ends or ctx is cancelled. It never sends the attempt
 	// more than once. Outcomes that say "not run" are proven.
 	Execute(ctx context.Context, a *effect.StartAttempt) model.AttemptResult
+	// Keep forgets the connections to all backend servers that are not listed.
+	Keep(servers []model.BackendServer)
 	// Close closes idle connections.
 	Close()
 }
@@ -32,9 +36,17 @@
 // next owner finds the server's connection limit free.
 const idleTimeout = 30 * time.Second
 
+// Config identifies the daemon that sends the attempts.
+type Config struct {
+	Self model.VM
+	Boot model.Boot
+	TLS  *tls.Config // nil for plain HTTP
+}
+
 // HTTP is the adapter for backend servers that speak api/backend.yaml.
 type HTTP struct {
-	tls *tls.Config
+	cfg      Config
+	attempts atomic.Uint64 // number of the last attempt
 
 	mu      sync.Mutex
 	servers map[serverKey]*server
@@ -46,40 +58,46 @@
 }
 
 type server struct {
+	limits    model.Limits
 	client    *api.Client
 	transport *http.Transport
 }
 
-// NewHTTP returns an adapter; tlsConfig is nil for plain HTTP.
-func NewHTTP(tlsConfig *tls.Config) *HTTP {
-	return &HTTP{tls: tlsConfig, servers: make(map[serverKey]*server)}
+// NewHTTP returns an adapter without connections.
+func NewHTTP(cfg Config) *HTTP {
+	return &HTTP{cfg: cfg, servers: make(map[serverKey]*server)}
 }
 
 // server returns the client of a backend server, with a connection pool of its own that
-// stays within the server's limit.
+// stays within the server's limit. A change of the limits starts a new pool; the old one
+// closes each connection when its attempt has ended.
 func (h *HTTP) server(b *model.BackendServer, limits model.Limits) (*server, error) {
 	key := serverKey{id: b.ID, address: b.Address}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if s, ok := h.servers[key]; ok {
-		return s, nil
+	old, ok := h.servers[key]
+	if ok && old.limits.Connections == limits.Connections && old.limits.Slots == limits.Slots {
+		return old, nil
 	}
 	transport := &http.Transport{
 		MaxConnsPerHost:     limits.Connections,
 		MaxIdleConnsPerHost: limits.Slots + 1,
 		IdleConnTimeout:     idleTimeout,
-		TLSClientConfig:     h.tls,
+		TLSClientConfig:     h.cfg.TLS,
 		DisableCompression:  true,
 	}
 	scheme := "http"
-	if h.tls != nil {
+	if h.cfg.TLS != nil {
 		scheme = "https"
 	}
 	client, err := api.NewClient(scheme+"://"+b.Address, api.WithClient(&http.Client{Transport: transport}))
 	if err != nil {
 		return nil, eris.Wrapf(err, "backend server %s", b.ID)
 	}
-	s := &server{client: client, transport: transport}
+	if old != nil {
+		old.transport.CloseIdleConnections()
+	}
+	s := &server{limits: limits, client: client, transport: transport}
 	h.servers[key] = s
 	return s, nil
 }
@@ -92,13 +110,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	res, err := s.client.Execute(ctx, request(a), api.ExecuteParams{
-		XAttemptID:  fmt.Sprintf("%s-%d", a.Entry, a.Attempt),
+		XAttemptID:  h.attemptID(),
 		XTimeoutMs:  max(a.Timeout.Milliseconds(), 1),
 		Traceparent: traceparent(a.Trace),
 	})
 	if err != nil {
-		return failure(ctx, a, err)
+		return failure(ctx, a, connected.Load(), err)
 	}
 	switch r := res.(type) {
 	case *api.ExecuteResponse:
@@ -109,6 +131,28 @@
 	return model.AttemptResult{Outcome: model.OutcomeFailed, Reason: fmt.Sprintf("unexpected response %T", res)}
 }
 
+// attemptID returns an ID that no other attempt of any daemon has. The attempt numbers of
+// the reducer do not do, since each traffic worker counts its own.
+func (h *HTTP) attemptID() string {
+	return fmt.Sprintf("%s-%s-%d", h.cfg.Self, h.cfg.Boot, h.attempts.Add(1))
+}
+
+// Keep implements Client.
+func (h *HTTP) Keep(servers []model.BackendServer) {
+	keep := make(map[serverKey]bool, len(servers))
+	for i := range servers {
+		keep[serverKey{id: servers[i].ID, address: servers[i].Address}] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key, s := range h.servers {
+		if !keep[key] {
+			s.transport.CloseIdleConnections()
+			delete(h.servers, key)
+		}
+	}
+}
+
 // Close implements Client.
 func (h *HTTP) Close() {
 	h.mu.Lock()
@@ -185,9 +229,9 @@
 	return res
 }
 
-// failure classifies an error without a response. Only a failed dial proves that nothing
-// was run.
-func failure(ctx context.Context, a *effect.StartAttempt, err error) model.AttemptResult {
+// failure classifies an error without a response. Only an attempt that got no connection is
+// proven not to have run.
+func failure(ctx context.Context, a *effect.StartAttempt, connected bool, err error) model.AttemptResult {
 	res := model.AttemptResult{
 		Outcome: model.OutcomeLost,
 		Reason:  eris.Wrapf(err, "attempt at backend server %s", a.Server.ID).Error(),
@@ -196,6 +240,8 @@
 	switch {
 	case errors.As(err, &op) && op.Op == "dial" && ctx.Err() == nil:
 		res.Outcome = model.OutcomeRefusedConnection
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !connected:
+		res.Outcome = model.OutcomeRefusedConnection
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		res.Outcome = model.OutcomeTimeout
 	case errors.Is(ctx.Err(), context.Canceled):
--- /dev/null
+++ b/backend/backend_test.go
@@ -0,0 +1,368 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/standin"
+)
+
+// patience bounds waits for a condition.
+const patience = 20 * time.Second
+
+var limits = model.Limits{Slots: 3, Connections: 4}
+
+// fixture is a searcher stand-in behind a counter of its connections.
+type fixture struct {
+	searcher *standin.Searcher
+	address  string
+	mu       sync.Mutex
+	open     map[net.Conn]bool
+	peak     int
+	opened   int
+	ids      map[string]int // X-Attempt-Id values
+}
+
+func newFixture(t *testing.T, cfg standin.SearcherConfig) *fixture {
+	t.Helper()
+	f := &fixture{searcher: standin.NewSearcher(cfg), open: make(map[net.Conn]bool), ids: make(map[string]int)}
+	h := f.searcher.Handler()
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.ids[r.Header.Get("X-Attempt-Id")]++
+		f.mu.Unlock()
+		h.ServeHTTP(w, r)
+	}))
+	srv.Config.ConnState = f.connState
+	srv.Start()
+	t.Cleanup(srv.Close)
+	f.address = srv.Listener.Addr().String()
+	return f
+}
+
+func (f *fixture) connState(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		f.open[c] = true
+		f.opened++
+	case http.StateClosed, http.StateHijacked:
+		delete(f.open, c)
+	}
+	f.peak = max(f.peak, len(f.open))
+}
+
+func (f *fixture) connections() (open, peak, opened int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open), f.peak, f.opened
+}
+
+func newClient(t *testing.T, boot model.Boot) *HTTP {
+	t.Helper()
+	h := NewHTTP(Config{Self: "owner-1", Boot: boot})
+	t.Cleanup(h.Close)
+	return h
+}
+
+func attempt(address string, kind model.Kind) *effect.StartAttempt {
+	return &effect.StartAttempt{
+		Attempt: 1,
+		Server:  model.BackendServer{ID: "b1", Address: address},
+		Key:     model.ShardKey{Route: model.Route{Customer: "c", Route: "r"}, Version: "v1", Shard: "s0"},
+		Kind:    kind,
+		Timeout: patience,
+		Limits:  limits,
+		Payload: []byte("logo"),
+		Entry:   "entry-1",
+	}
+}
+
+// burst runs n attempts at once.
+func burst(ctx context.Context, h *HTTP, a *effect.StartAttempt, n int) []model.AttemptResult {
+	results := make([]model.AttemptResult, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { results[i] = h.Execute(ctx, a) })
+	}
+	wg.Wait()
+	return results
+}
+
+func wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatal(what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestResults guards against results that lose the snapshot, the boot or the hits.
+func TestResults(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.SearcherConfig{Slots: 3, ColdSlots: 3, Hits: 5, FirstNewest: 7})
+	h := newClient(t, 1)
+	a := attempt(f.address, model.KindSearch)
+	a.Limit = 2
+	res := h.Execute(t.Context(), a)
+	is.Equal(res.Outcome, model.OutcomeOK)
+	is.True(res.Boot != 0)
+	is.Equal([]model.Snapshot{res.Snapshot, res.Oldest, res.Newest}, []model.Snapshot{7, 6, 7})
+	is.Equal(len(res.Hits), 2)
+	is.True(len(res.Hits[0].Body) > 0 && res.Hits[0].Document == "r/s0/0")
+	a.Snapshot = 6
+	is.Equal(h.Execute(t.Context(), a).Snapshot, model.Snapshot(6))
+
+	f.searcher.Publish()
+	gone := h.Execute(t.Context(), a)
+	is.Equal(gone.Outcome, model.OutcomeSnapshotGone)
+	is.Equal([]model.Snapshot{gone.Oldest, gone.Newest}, []model.Snapshot{7, 8})
+	is.Equal(gone.Boot, res.Boot)
+	a.Snapshot = 0
+	f.searcher.Restart()
+	again := h.Execute(t.Context(), a)
+	is.True(again.Boot != res.Boot)
+
+	f.searcher.SetFaults(0, 1)
+	is.Equal(h.Execute(t.Context(), a).Outcome, model.OutcomeFailed)
+	f.searcher.SetDraining(true)
+	is.Equal(h.Execute(t.Context(), a).Outcome, model.OutcomeShed)
+}
+
+// TestShed guards against a shed attempt that passes for one that may have run.
+func TestShed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.SearcherConfig{Slots: 1, ColdSlots: 1, Median: time.Hour})
+	h := newClient(t, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan model.AttemptResult, 1)
+	go func() { done <- h.Execute(ctx, attempt(f.address, model.KindSubmit)) }()
+	wait(t, "first attempt does not run", func() bool { return f.searcher.Stats().Executed == 1 })
+	is.Equal(h.Execute(t.Context(), attempt(f.address, model.KindSubmit)).Outcome, model.OutcomeShed)
+	cancel()
+	is.Equal((<-done).Outcome, model.OutcomeCancelled)
+	wait(t, "slot is not freed", func() bool { return f.searcher.Stats().Cancelled == 1 })
+	is.Equal(f.searcher.Stats().Submits["logo"], 1)
+}
+
+// TestTimeout guards against an attempt that outlives its timeout.
+func TestTimeout(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.SearcherConfig{Slots: 1, ColdSlots: 1, Median: time.Hour})
+	a := attempt(f.address, model.KindRead)
+	a.Timeout = 100 * time.Millisecond
+	is.Equal(newClient(t, 1).Execute(t.Context(), a).Outcome, model.OutcomeTimeout)
+	wait(t, "slot is not freed", func() bool { return f.searcher.Stats().Cancelled == 1 })
+}
+
+// TestNotConnected guards against an attempt that never left and is reported as one that may
+// have run.
+func TestNotConnected(t *testing.T) {
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(lis.Close())
+	h := newClient(t, 1)
+	is.Equal(h.Execute(t.Context(), attempt(lis.Addr().String(), model.KindSubmit)).Outcome, model.OutcomeRefusedConnection)
+
+	// All connections that the server accepts are busy until the timeout of the second attempt.
+	f := newFixture(t, standin.SearcherConfig{Slots: 5, ColdSlots: 5, Median: time.Hour})
+	first := attempt(f.address, model.KindSubmit)
+	first.Limits.Connections = 1
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan model.AttemptResult, 1)
+	go func() { done <- h.Execute(ctx, first) }()
+	wait(t, "first attempt does not run", func() bool { return f.searcher.Stats().Executed == 1 })
+	second := *first
+	second.Timeout = 100 * time.Millisecond
+	is.Equal(h.Execute(t.Context(), &second).Outcome, model.OutcomeRefusedConnection)
+	cancel()
+	<-done
+	is.Equal(f.searcher.Stats().Executed, 1)
+}
+
+// rawServer answers each request on each connection with answer, which closes the connection
+// by returning false. It counts the requests.
+func rawServer(t *testing.T, answer func(n int64, conn net.Conn) bool) (address string, requests *atomic.Int64) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	requests = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if _, err := bufio.NewReader(req.Body).WriteTo(discard{}); err != nil {
+						return
+					}
+					if !answer(requests.Add(1), conn) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return lis.Addr().String(), requests
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+const okBody = `{"state":{"boot":1,"oldest":1,"newest":1},"snapshot":1,"hits":[]}`
+
+func writeOK(conn net.Conn) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(okBody), okBody)
+	return err == nil
+}
+
+// TestSentOnce guards against a submit that net/http sends twice, and against a lost answer
+// that passes for proof that nothing ran.
+func TestSentOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		before int64 // requests that are answered before the connection is closed
+		reply  string
+	}{
+		{"new connection", 0, ""},
+		{"kept connection", 1, ""},
+		{"part of an answer", 0, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 500\r\n\r\n{\"state\""},
+		{"no HTTP", 0, "\x00\x01\x02\r\n"},
+		{"other content", 0, "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nno"},
+		{"broken JSON", 0, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{]"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			address, requests := rawServer(t, func(n int64, conn net.Conn) bool {
+				if n <= tc.before {
+					return writeOK(conn)
+				}
+				_, _ = conn.Write([]byte(tc.reply))
+				return false
+			})
+			h := newClient(t, 1)
+			for range tc.before {
+				is.Equal(h.Execute(t.Context(), attempt(address, model.KindSubmit)).Outcome, model.OutcomeOK)
+			}
+			res := h.Execute(t.Context(), attempt(address, model.KindSubmit))
+			is.Equal(res.Outcome, model.OutcomeLost)
+			is.True(!res.Outcome.NotRun())
+			is.Equal(requests.Load(), tc.before+1)
+		})
+	}
+}
+
+// TestIdleConnectionClosed guards against a submit that is sent twice when the server closes
+// an idle connection at the moment it is used again.
+func TestIdleConnectionClosed(t *testing.T) {
+	is := is.New(t)
+	address, requests := rawServer(t, func(_ int64, conn net.Conn) bool {
+		writeOK(conn)
+		return false
+	})
+	h := newClient(t, 1)
+	sent := int64(0)
+	for range 200 {
+		res := h.Execute(t.Context(), attempt(address, model.KindSubmit))
+		sent++
+		is.True(res.Outcome == model.OutcomeOK || res.Outcome == model.OutcomeLost)
+		is.True(requests.Load() <= sent)
+	}
+}
+
+// TestConnections guards against more connections than the server accepts, against pools
+// that ignore changed limits and against pools of servers that are gone.
+func TestConnections(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.SearcherConfig{Slots: 100, ColdSlots: 100, Median: time.Millisecond})
+	h := newClient(t, 1)
+	a := attempt(f.address, model.KindSearch)
+	for range 5 {
+		h.Execute(t.Context(), a)
+	}
+	_, _, opened := f.connections()
+	is.Equal(opened, 1) // connections are used again
+
+	for _, res := range burst(t.Context(), h, a, 40) {
+		is.Equal(res.Outcome, model.OutcomeOK)
+	}
+	open, peak, _ := f.connections()
+	is.True(peak <= limits.Connections)
+	is.True(open <= limits.Slots+1) // kept warm
+	t.Logf("after a burst of 40: %d open, at most %d, limit %d", open, peak, limits.Connections)
+
+	a.Limits.Connections = 12
+	a.Limits.Slots = 12
+	f.mu.Lock()
+	f.peak = 0
+	f.mu.Unlock()
+	f.searcher.SetFaults(1, 0) // ten times slower, so that the attempts overlap
+	burst(t.Context(), h, a, 40)
+	_, peak, _ = f.connections()
+	is.True(peak > limits.Connections) // the new limit is in force
+	t.Logf("after the change to 12: at most %d", peak)
+
+	h.Keep([]model.BackendServer{a.Server})
+	is.Equal(len(h.servers), 1)
+	other := a.Server
+	other.Address = "127.0.0.1:1"
+	h.Keep([]model.BackendServer{other})
+	is.Equal(len(h.servers), 0)
+	wait(t, "connections of a forgotten server stay open", func() bool {
+		open, _, _ := f.connections()
+		return open == 0
+	})
+}
+
+// TestAttemptIDs guards against two attempts with one ID: the workers of a daemon number
+// theirs independently, and a restarted daemon starts anew.
+func TestAttemptIDs(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, standin.SearcherConfig{Slots: 9, ColdSlots: 9})
+	for boot := range model.Boot(2) {
+		h := newClient(t, boot+1)
+		burst(t.Context(), h, attempt(f.address, model.KindSearch), 5)
+	}
+	is.Equal(len(f.ids), 10)
+	for id := range f.ids {
+		is.True(strings.HasPrefix(id, "owner-1-"))
+	}
+}
+
+// TestTraceparent guards against a trace that ends at the owner.
+func TestTraceparent(t *testing.T) {
+	is := is.New(t)
+	got := traceparent(model.TraceContext{TraceID: [16]byte{1}, SpanID: [8]byte{2}})
+	is.Equal(got.Value, "00-01000000000000000000000000000000-0200000000000000-01")
+	is.True(!traceparent(model.TraceContext{}).Set)
+}
--- a/control.go
+++ b/control.go
@@ -32,6 +32,7 @@
 	box   *mailbox.Mailbox[any] // event.Event or inspection
 
 	watchCancel context.CancelFunc // ends the current watch; nil without one
+	config      *model.ConfigView  // of the last view
 
 	mu       sync.Mutex
 	commands map[uint64]chan effect.CommandResult
@@ -169,11 +170,30 @@
 func (c *controlLoop) publish(v *model.View) {
 	c.d.metrics.view(v)
 	c.d.network.Forget(v.Peers)
+	if v.Config != c.config {
+		c.config = v.Config
+		c.d.backend.Keep(backendServers(v.Config))
+	}
 	for _, w := range c.d.workers {
 		w.put(event.ViewPublished{View: v})
 	}
 }
 
+// backendServers lists the backend servers of a configuration.
+func backendServers(cfg *model.ConfigView) []model.BackendServer {
+	var list []model.BackendServer
+	for _, t := range cfg.Templates {
+		for i := range t.Routes {
+			for _, v := range t.Routes[i].Versions {
+				for _, s := range v.Shards {
+					list = append(list, s.Replicas...)
+				}
+			}
+		}
+	}
+	return list
+}
+
 func (c *controlLoop) reply(v effect.ReplyOperator) {
 	c.mu.Lock()
 	ch := c.commands[v.Command]
--- a/daemon.go
+++ b/daemon.go
@@ -88,15 +88,16 @@
 	if err := d.connectStore(); err != nil {
 		return nil, err
 	}
+	boot := model.Boot(rand.Uint64() | 1)
 	d.backend = cfg.Backend
 	if d.backend == nil {
-		d.backend = backend.NewHTTP(nil)
+		d.backend = backend.NewHTTP(backend.Config{Self: cfg.Settings.VM, Boot: boot})
 	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
 	d.network = peer.New(peer.Config{Self: cfg.Settings.VM, TLS: d.tls, Unreadable: d.unreadable}, (*peerHandler)(d))
-	d.buildLoops()
+	d.buildLoops(boot)
 	return d, nil
 }
 
@@ -148,9 +149,8 @@
 }
 
 // buildLoops creates the control loop and the traffic workers.
-func (d *Daemon) buildLoops() {
+func (d *Daemon) buildLoops(boot model.Boot) {
 	s := d.cfg.Settings
-	boot := model.Boot(rand.Uint64() | 1)
 	cfg := core.Config{
 		Self:              s.VM,
 		Boot:              boot,
