peer: bound what waits for a peer, and tell the directions of a loss apart

Cause: tests of the connections between daemons found - the queue for a peer that accepts and never reads grew without bound, and its writer was stuck until TCP gave up. Every write now has a deadline of 2 s, and a queue above 64 MiB ends the connection; its unsent sub-requests are reported as such; - PeerLost did not say which connection broke. When the stream to an owner broke, or could not even be dialled, the sub-requests that this owner had sent as an entry daemon were dropped too, although its replies could still arrive, and the reverse. The event now carries the direction; its zero value still means both; - a failed dial was reported as a loss although nothing had been sent; - a restarted entry daemon replaced the stream of its earlier process without a loss, so the earlier sub-requests ran on, and since query IDs started at 1 in each process, a late reply could match a query of the new one. The loss is reported now and query IDs start at random; - a loss could be applied after a request had gone out on the next connection, and was taken to concern it.

Conclusion: a peer that hangs costs its own traffic only.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -109,9 +109,12 @@
 		Sent     bool
 	}
 
-	// PeerLost reports that the connection to a peer broke; replies to what was sent on it
+	// PeerLost reports that a connection to a peer broke; replies to what was sent on it
 	// will not arrive.
-	PeerLost struct{ VM model.VM }
+	PeerLost struct {
+		VM         model.VM
+		Connection Connection
+	}
 
 	// AttemptDone is the end of an attempt.
 	AttemptDone struct {
@@ -225,6 +228,16 @@
 	WriteUnknown               // the answer was lost; it may have taken effect
 )
 
+// Connection says in which direction sub-requests went over a connection.
+type Connection uint8
+
+// Connections with a peer. Each of the two breaks without the other.
+const (
+	ConnectionBoth Connection = iota
+	ConnectionOut             // to the peer as owner
+	ConnectionIn              // from the peer as entry daemon
+)
+
 // Command is the body of an operator's request.
 type Command interface{ command() }
 
--- a/core/traffic.go
+++ b/core/traffic.go
@@ -58,8 +58,12 @@
 	case event.SendFailed:
 		t.queries.SendFailed(e, now, out)
 	case event.PeerLost:
-		t.queries.PeerLost(e, now, out)
-		t.owner.PeerLost(e, now, out)
+		if e.Connection != event.ConnectionIn {
+			t.queries.PeerLost(e, now, out)
+		}
+		if e.Connection != event.ConnectionOut {
+			t.owner.PeerLost(e, now, out)
+		}
 	case event.AttemptDone:
 		t.owner.AttemptDone(e, now, out)
 	case event.DrainKey:
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/event"
@@ -64,12 +65,12 @@
 		Run:      p.GetRun(),
 		Entry:    model.VM(p.GetEntry()),
 		Key:      keyFromPB(p.GetKey()),
-		Kind:     model.Kind(p.GetKind()),
-		Class:    model.Class(p.GetClass()),
+		Kind:     model.Kind(narrow(p.GetKind())),
+		Class:    model.Class(narrow(p.GetClass())),
 		Snapshot: model.Snapshot(p.GetSnapshot()),
 		Epoch:    p.GetEpoch(),
 		Owner:    ownerFromPB(p.GetOwner()),
-		Budget:   time.Duration(p.GetBudgetMicros()) * time.Microsecond,
+		Budget:   fromMicros(p.GetBudgetMicros()),
 		Dedupe:   p.GetDedupe(),
 		Repeat:   p.GetRepeat(),
 		Limit:    int(p.GetLimit()),
@@ -106,7 +107,7 @@
 		Query:    model.QueryID(p.GetQuery()),
 		Run:      p.GetRun(),
 		Key:      keyFromPB(p.GetKey()),
-		Outcome:  model.OutcomeCode(p.GetOutcome()),
+		Outcome:  model.OutcomeCode(narrow(p.GetOutcome())),
 		Snapshot: model.Snapshot(p.GetSnapshot()),
 		Oldest:   model.Snapshot(p.GetOldest()),
 		Newest:   model.Snapshot(p.GetNewest()),
@@ -129,6 +130,16 @@
 	return event.Cancel{Query: model.QueryID(p.GetQuery()), Run: p.GetRun(), Key: keyFromPB(p.GetKey())}
 }
 
+// narrow maps values that do not fit into a byte to one that has no meaning, instead of to
+// another valid one.
+func narrow(v uint32) uint8 { return uint8(min(v, math.MaxUint8)) }
+
+// fromMicros returns a duration, limited to what one can hold.
+func fromMicros(v int64) time.Duration {
+	const limit = int64(math.MaxInt64 / time.Microsecond)
+	return time.Duration(max(min(v, limit), -limit)) * time.Microsecond
+}
+
 // HeartbeatToPB encodes a heartbeat for the wire.
 func HeartbeatToPB(h *event.Heartbeat) *peerpb.Heartbeat {
 	p := &peerpb.Heartbeat{
@@ -247,7 +258,7 @@
 func overrideFromPB(p *peerpb.Override) (event.Override, bool) {
 	key := model.ObjectKey{Kind: model.ObjectKind(p.GetKind()), Name: p.GetName()}
 	obj, err := store.Decode(key, 0, false, p.GetData())
-	if err != nil {
+	if err != nil || obj.Zone == nil && obj.Automation == nil {
 		return event.Override{}, false
 	}
 	return event.Override{
@@ -268,10 +279,19 @@
 	return p
 }
 
+// microsUp rounds up, since a shorter time would free a slot that is still taken.
+func microsUp(d time.Duration) int64 {
+	micros := d.Microseconds()
+	if d > time.Duration(micros)*time.Microsecond {
+		micros++
+	}
+	return micros
+}
+
 func releasedKeyToPB(k *event.ReleasedKey) *peerpb.ReleasedKey {
 	p := &peerpb.ReleasedKey{Key: keyToPB(k.Key)}
 	for _, a := range k.Running {
-		p.Running = append(p.Running, &peerpb.Remaining{Server: string(a.Server), LeftMicros: a.Left.Microseconds()})
+		p.Running = append(p.Running, &peerpb.Remaining{Server: string(a.Server), LeftMicros: microsUp(a.Left)})
 	}
 	for _, s := range k.Submits {
 		p.Submits = append(p.Submits, &peerpb.RecentSubmit{
@@ -296,13 +316,13 @@
 	for _, a := range p.GetRunning() {
 		k.Running = append(k.Running, event.Remaining{
 			Server: model.BackendServerID(a.GetServer()),
-			Left:   time.Duration(a.GetLeftMicros()) * time.Microsecond,
+			Left:   fromMicros(a.GetLeftMicros()),
 		})
 	}
 	for _, s := range p.GetSubmits() {
 		k.Submits = append(k.Submits, event.RecentSubmit{
 			Dedupe: s.GetDedupe(),
-			Age:    time.Duration(s.GetAgeMicros()) * time.Microsecond,
+			Age:    fromMicros(s.GetAgeMicros()),
 			NotRun: s.GetNotRun(),
 		})
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -29,6 +29,8 @@
 	// beatTimeout ends the connection to a peer that does not confirm a heartbeat.
 	beatTimeout = 2 * time.Second
 	callTimeout = 5 * time.Second
+	// writeTimeout ends the connection to a peer that does not read.
+	writeTimeout = 2 * time.Second
 )
 
 // Handler receives what peers send. Its methods must not block.
@@ -38,8 +40,8 @@
 	SubRequests(from model.VM, r []model.SubRequest)
 	SubReplies(from model.VM, r []model.SubReply)
 	Cancels(from model.VM, c []event.Cancel)
-	// PeerLost reports that a traffic connection with a peer broke, in either direction.
-	PeerLost(vm model.VM)
+	// PeerLost reports that a traffic connection with a peer broke.
+	PeerLost(vm model.VM, which event.Connection)
 	// SendFailed reports sub-requests that could not be sent at all.
 	SendFailed(to model.VM, r []model.SubRequest)
 	// Objects returns the objects newer than a revision and the revision up to which they are
@@ -91,8 +93,32 @@
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
 }
 
+// deadlineConn bounds every write. Without it a peer that hangs would block its writer until
+// TCP gives up after many minutes.
+type deadlineConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c deadlineConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+type deadlineListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l deadlineListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return deadlineConn{conn}, nil
+}
+
 // Serve accepts peers until Close.
 func (n *Network) Serve(lis net.Listener) error {
+	lis = deadlineListener{lis}
 	if n.cfg.TLS != nil {
 		lis = tls.NewListener(lis, n.cfg.TLS)
 	}
@@ -120,20 +146,36 @@
 func (n *Network) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := &net.Dialer{}
-	var conn net.Conn
-	var err error
-	if n.cfg.TLS != nil {
-		conn, err = (&tls.Dialer{NetDialer: d, Config: n.cfg.TLS}).DialContext(ctx, "tcp", address)
-	} else {
-		conn, err = d.DialContext(ctx, "tcp", address)
-	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial peer at %s", address)
 	}
+	conn = deadlineConn{conn}
+	if n.cfg.TLS != nil {
+		if conn, err = n.handshake(ctx, conn, address); err != nil {
+			return nil, err
+		}
+	}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+// handshake secures a connection, or closes it on failure.
+func (n *Network) handshake(ctx context.Context, conn net.Conn, address string) (net.Conn, error) {
+	cfg := n.cfg.TLS.Clone()
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrapf(err, "address of peer %q", address)
+	}
+	cfg.ServerName = host
+	secured := tls.Client(conn, cfg)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrapf(err, "secure connection to peer at %s", address)
+	}
+	return secured, nil
+}
+
 // Beat sends a heartbeat. A heartbeat that waits behind one that is not confirmed yet is
 // replaced by the newer one.
 func (n *Network) Beat(to model.VM, address string, hb event.Heartbeat) {
@@ -162,6 +204,11 @@
 			delete(n.beats, vm)
 		}
 	}
+	for vm, s := range n.traffic {
+		if _, ok := keep[vm]; !ok {
+			s.end()
+		}
+	}
 }
 
 // Hand delivers a release. A lost release is harmless: the successor waits until the lease
@@ -258,19 +305,42 @@
 		return err
 	}
 	from := model.VM(first.GetFrom())
+	if from == "" {
+		return eris.New("traffic stream without a sender")
+	}
 	t := newStream(s.n, from)
-	s.n.mu.Lock()
-	s.n.accepted[from] = t
-	s.n.mu.Unlock()
+	s.n.accept(from, t)
 	defer s.n.dropAccepted(from, t)
-	go t.writeTo(st)
-	defer t.close()
-	for msg := first; ; {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		t.writeTo(st)
+		_ = st.Close()
+	}()
+	defer func() {
+		t.close()
+		<-written
+	}()
+	for msg := first; !t.isClosed(); {
 		s.n.deliver(from, msg)
 		if msg, err = st.Recv(); err != nil {
 			return nil
 		}
 	}
+	return nil
+}
+
+// accept makes t the stream on which replies to vm go. An older stream is one of an earlier
+// process of vm, or of a connection that vm has given up.
+func (n *Network) accept(vm model.VM, t *stream) {
+	n.mu.Lock()
+	old := n.accepted[vm]
+	n.accepted[vm] = t
+	n.mu.Unlock()
+	if old != nil {
+		old.close()
+		n.handler.PeerLost(vm, event.ConnectionIn)
+	}
 }
 
 func (n *Network) dropAccepted(vm model.VM, t *stream) {
@@ -281,7 +351,7 @@
 	}
 	n.mu.Unlock()
 	if current {
-		n.handler.PeerLost(vm)
+		n.handler.PeerLost(vm, event.ConnectionIn)
 	}
 }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -8,9 +8,18 @@
 	"github.com/gooseberrylock/gooseberrylock/peer/peerpb"
 )
 
-// maxBatch bounds the sub-requests and replies in one message, so that one message does
-// not delay the next for long.
-const maxBatch = 256
+const (
+	// maxBatch bounds the sub-requests and replies in one message, so that one message does
+	// not delay the next for long.
+	maxBatch = 256
+	// maxBatchBytes stops a batch from growing further; replies can carry large hits.
+	maxBatchBytes = 1 << 20
+	// maxQueuedBytes bounds what waits for one peer. A peer that falls further behind is
+	// treated like a lost one.
+	maxQueuedBytes = 64 << 20
+	// itemOverhead is a rough size of a sub-request or reply without payload and hits, in bytes.
+	itemOverhead = 128
+)
 
 // sender is the common part of both ends of a traffic stream.
 type sender interface {
@@ -24,24 +33,38 @@
 	vm model.VM
 
 	mu     sync.Mutex
-	queue  []*peerpb.TrafficMessage
+	queue  []queued
+	bytes  int // weight of the queue
 	closed bool
 	wake   chan struct{}
 }
 
+// queued is a message with its weight in bytes.
+type queued struct {
+	m      *peerpb.TrafficMessage
+	weight int
+}
+
 func newStream(n *Network, vm model.VM) *stream {
 	return &stream{n: n, vm: vm, wake: make(chan struct{}, 1)}
 }
 
-// put queues a message and reports whether the stream still takes any.
+// put queues a message and reports whether the stream still takes any. A full queue ends the
+// stream.
 func (s *stream) put(m *peerpb.TrafficMessage) bool {
+	q := queued{m: m, weight: weight(m)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.queue = append(s.queue, m)
 	s.signal()
+	if s.bytes+q.weight > maxQueuedBytes && s.bytes > 0 {
+		s.closed = true
+		return false
+	}
+	s.queue = append(s.queue, q)
+	s.bytes += q.weight
 	return true
 }
 
@@ -52,17 +75,30 @@
 	}
 }
 
-// close stops the stream and returns what was not sent.
-func (s *stream) close() []*peerpb.TrafficMessage {
+// end makes the stream take no more messages, which ends its connection.
+func (s *stream) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	rest := s.queue
-	s.queue = nil
 	s.signal()
+}
+
+// close stops the stream and returns what was not sent.
+func (s *stream) close() []queued {
+	s.end()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rest := s.queue
+	s.queue, s.bytes = nil, 0
 	return rest
 }
 
+func (s *stream) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // take merges queued messages into one. The second result is false after close.
 func (s *stream) take() (*peerpb.TrafficMessage, bool) {
 	s.mu.Lock()
@@ -73,22 +109,45 @@
 	if len(s.queue) == 0 {
 		return nil, true
 	}
-	m := s.queue[0]
-	s.queue = s.queue[1:]
-	for len(s.queue) > 0 && size(m) < maxBatch {
-		next := s.queue[0]
-		s.queue = s.queue[1:]
-		m.Requests = append(m.Requests, next.Requests...)
-		m.Replies = append(m.Replies, next.Replies...)
-		m.Cancels = append(m.Cancels, next.Cancels...)
+	first := s.pop()
+	m, bytes := first.m, first.weight
+	for len(s.queue) > 0 && size(m) < maxBatch && bytes < maxBatchBytes {
+		next := s.pop()
+		bytes += next.weight
+		m.Requests = append(m.Requests, next.m.Requests...)
+		m.Replies = append(m.Replies, next.m.Replies...)
+		m.Cancels = append(m.Cancels, next.m.Cancels...)
 	}
 	return m, true
 }
 
+// pop takes the first message. The caller holds the lock.
+func (s *stream) pop() queued {
+	q := s.queue[0]
+	s.queue[0] = queued{}
+	s.queue = s.queue[1:]
+	s.bytes -= q.weight
+	return q
+}
+
 func size(m *peerpb.TrafficMessage) int {
 	return len(m.Requests) + len(m.Replies) + len(m.Cancels)
 }
 
+// weight estimates the memory that a message takes, in bytes.
+func weight(m *peerpb.TrafficMessage) int {
+	n := itemOverhead * size(m)
+	for _, r := range m.Requests {
+		n += len(r.Payload)
+	}
+	for _, r := range m.Replies {
+		for _, h := range r.Hits {
+			n += itemOverhead + len(h.Document) + len(h.Body)
+		}
+	}
+	return n
+}
+
 // writeTo sends queued messages until the stream is closed or broken. What is still queued
 // when it breaks has not been sent.
 func (s *stream) writeTo(out sender) {
@@ -168,43 +227,49 @@
 }
 
 // runOutgoing connects, sends and receives until the connection breaks. Sub-requests that were
-// still queued then are reported as not sent; for the others the loss is reported.
+// still queued then are reported as not sent; for the others the loss is reported. Until both
+// are reported, no new stream to the peer is opened.
 func (n *Network) runOutgoing(s *stream, address string) {
 	defer n.wg.Done()
-	n.exchange(s, address)
-	n.mu.Lock()
-	delete(n.traffic, s.vm)
-	n.mu.Unlock()
+	connected := n.exchange(s, address)
 	var unsent []model.SubRequest
-	for _, m := range s.close() {
-		for _, p := range m.Requests {
+	for _, q := range s.close() {
+		for _, p := range q.m.Requests {
 			unsent = append(unsent, subRequestFromPB(p))
 		}
 	}
 	if len(unsent) > 0 {
 		n.handler.SendFailed(s.vm, unsent)
 	}
-	n.handler.PeerLost(s.vm)
+	if connected {
+		n.handler.PeerLost(s.vm, event.ConnectionOut)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.traffic, s.vm)
 }
 
-func (n *Network) exchange(s *stream, address string) {
+// exchange reports whether there was a connection, so that something may have been sent.
+func (n *Network) exchange(s *stream, address string) bool {
 	conn, err := n.dial(n.ctx, address)
 	if err != nil {
-		return
+		return false
 	}
 	defer conn.Close()
 	st, err := peerpb.NewDRPCPeerClient(conn).Traffic(n.ctx)
 	if err != nil {
-		return
+		return false
 	}
+	n.wg.Add(1)
 	go func() {
+		defer n.wg.Done()
 		s.writeTo(st)
 		_ = st.Close()
 	}()
 	for {
 		msg, err := st.Recv()
 		if err != nil {
-			return
+			return true
 		}
 		n.deliver(s.vm, msg)
 	}
--- a/peers.go
+++ b/peers.go
@@ -33,10 +33,13 @@
 func (h *peerHandler) Cancels(from model.VM, c []event.Cancel) { h.daemon().receiveCancels(from, c) }
 
 // PeerLost implements peer.Handler.
-func (h *peerHandler) PeerLost(vm model.VM) {
+func (h *peerHandler) PeerLost(vm model.VM, which event.Connection) {
 	h.log.Warn().Str("step", "exchange traffic").Str("peer", string(vm)).Msg("connection lost")
 	for _, w := range h.workers {
-		w.put(event.PeerLost{VM: vm})
+		if which != event.ConnectionIn {
+			w.losing.add(vm, 1)
+		}
+		w.put(event.PeerLost{VM: vm, Connection: which})
 	}
 }
 
--- a/queries.go
+++ b/queries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
@@ -15,12 +16,17 @@
 	limit   int
 
 	mu      sync.Mutex
-	last    uint64
+	last    uint64 // starts at random, so that replies to an earlier process match no query of this one
 	waiting map[model.QueryID]chan effect.ReplyCaller
 }
 
 func newQueryTable(workers, limit int) *queryTable {
-	return &queryTable{workers: workers, limit: limit, waiting: make(map[model.QueryID]chan effect.ReplyCaller)}
+	return &queryTable{
+		workers: workers,
+		limit:   limit,
+		last:    rand.Uint64() >> 1,
+		waiting: make(map[model.QueryID]chan effect.ReplyCaller),
+	}
 }
 
 // add registers a caller. The second result is nil when too many requests run already.
--- a/worker.go
+++ b/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,29 @@
 	wake     *time.Timer
 	cancels  map[model.AttemptID]context.CancelFunc
 	attempts atomic.Int64 // under way
+	losing   losses
+}
+
+// losses counts the losses of connections to peers that a worker has not yet applied.
+// Until then it must send nothing on a new connection, because the loss would be taken to
+// concern that too.
+type losses struct {
+	mu    sync.Mutex
+	count map[model.VM]int
+}
+
+func (l *losses) add(vm model.VM, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count[vm] += n; l.count[vm] == 0 {
+		delete(l.count, vm)
+	}
+}
+
+func (l *losses) pending(vm model.VM) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count[vm] > 0
 }
 
 func newWorker(d *Daemon, index int, state *core.State) *worker {
@@ -34,6 +58,7 @@
 		box:     mailbox.New[event.Event](),
 		wake:    time.NewTimer(time.Hour),
 		cancels: make(map[model.AttemptID]context.CancelFunc),
+		losing:  losses{count: make(map[model.VM]int)},
 	}
 	w.wake.Stop()
 	return w
@@ -73,6 +98,10 @@
 		w.view = v.View
 	case event.AttemptDone:
 		delete(w.cancels, v.Attempt)
+	case event.PeerLost:
+		if v.Connection != event.ConnectionIn {
+			w.losing.add(v.VM, -1)
+		}
 	}
 	began := time.Now()
 	effects := core.Reduce(w.state, ev, w.d.now())
@@ -125,7 +154,7 @@
 		return
 	}
 	p, ok := w.view.Peers[v.To]
-	if !ok {
+	if !ok || w.losing.pending(v.To) {
 		w.put(event.SendFailed{To: v.To, Requests: v.Requests})
 		return
 	}
