--- a/control.go
+++ b/control.go
@@ -105,7 +105,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			c.apply(ctx, event.Tick{Wall: time.Now()})
+			// Round drops the monotonic reading, which a recorded event does not keep: durations
+			// between two ticks would differ in a replay.
+			c.apply(ctx, event.Tick{Wall: time.Now().Round(0)})
 		case <-c.box.Ready():
 			items := c.box.Take(spare)
 			for i, item := range items {
--- a/core/event/registry.go
+++ b/core/event/registry.go
@@ -66,6 +66,9 @@
 
 // MarshalJSON implements json.Marshaler.
 func (c OperatorCommand) MarshalJSON() ([]byte, error) {
+	if c.Body == nil {
+		return nil, fmt.Errorf("command %d has no body", c.Command)
+	}
 	body, err := json.Marshal(c.Body, JSONOptions)
 	if err != nil {
 		return nil, err
