--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/pem"
 	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -65,3 +70,25 @@
 	is.Equal(Main([]string{"check", "--template", file}, &out, &errOut), ExitUsage)
 	is.True(strings.Contains(errOut.String(), file+":1: field \"zones\""))
 }
+
+// TestTLSFlags guards against a command line that cannot reach a daemon over TLS, or that
+// trusts any certificate.
+func TestTLSFlags(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write([]byte(`{"step": "test", "reason": "reached"}`))
+	}))
+	defer srv.Close()
+	srv.Config.ErrorLog = log.New(io.Discard, "", 0)
+	ca := filepath.Join(t.TempDir(), "ca.pem")
+	is.NoErr(os.WriteFile(ca, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw}), 0o600))
+	var errOut bytes.Buffer
+	is.Equal(Main([]string{"status", "--daemon", srv.URL, "--ca", ca}, io.Discard, &errOut), ExitFailed)
+	is.True(strings.Contains(errOut.String(), "reached"))
+	errOut.Reset()
+	is.True(Main([]string{"status", "--daemon", srv.URL}, io.Discard, &errOut) != ExitOK)
+	is.True(strings.Contains(errOut.String(), "certificate"))
+	is.Equal(Main([]string{"status", "--daemon", srv.URL, "--ca", ca + "x"}, io.Discard, &errOut), ExitUsage)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -20,6 +20,7 @@
 
 	"github.com/gooseberrylock/gooseberrylock/api/caller"
 	"github.com/gooseberrylock/gooseberrylock/api/operator"
+	"github.com/gooseberrylock/gooseberrylock/settings"
 )
 
 // Exit codes.
@@ -65,6 +66,7 @@
 	token       string
 	output      string // text or json
 	timeout     time.Duration
+	tls         settings.TLS
 }
 
 // Main runs the command line and returns its exit code.
@@ -111,6 +113,9 @@
 	f.StringVar(&a.caller, "caller", envOr("GOOSEBERRYLOCK_CALLER", defaultCaller), "caller URL of any daemon")
 	f.StringVar(&a.token, "token", os.Getenv("GOOSEBERRYLOCK_TOKEN"), "bearer token for the operator address")
 	f.StringVar(&a.output, "output", "text", "output format: text or json")
+	f.StringVar(&a.tls.CA, "ca", os.Getenv("GOOSEBERRYLOCK_CA"), "PEM file of the CA that signed the daemons' certificates")
+	f.StringVar(&a.tls.Cert, "cert", os.Getenv("GOOSEBERRYLOCK_CERT"), "PEM file of the certificate to present")
+	f.StringVar(&a.tls.Key, "key", os.Getenv("GOOSEBERRYLOCK_KEY"), "PEM file of the key of that certificate")
 	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "longest time for one command")
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exitError{code: ExitUsage, err: err} })
 	cmd.AddCommand(a.applyCommand(), a.getCommand(), a.diffCommand(), a.pauseCommand(), a.resumeCommand(),
@@ -134,8 +139,23 @@
 	return operator.Token{Token: a.token}, nil
 }
 
+// httpClient returns a client that presents the certificate of the flags, if any.
+func (a *app) httpClient() (*http.Client, error) {
+	cfg, err := a.tls.Load()
+	if err != nil {
+		return nil, &exitError{code: ExitUsage, err: err}
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.TLSClientConfig = cfg
+	return &http.Client{Timeout: a.timeout, Transport: transport}, nil
+}
+
 func (a *app) operatorClient() (*operator.Client, error) {
-	c, err := operator.NewClient(a.daemon, a, operator.WithClient(&http.Client{Timeout: a.timeout}))
+	client, err := a.httpClient()
+	if err != nil {
+		return nil, err
+	}
+	c, err := operator.NewClient(a.daemon, a, operator.WithClient(client))
 	if err != nil {
 		return nil, fail(ExitUsage, "--daemon %q: %v", a.daemon, err)
 	}
@@ -143,7 +163,11 @@
 }
 
 func (a *app) callerClient() (*caller.Client, error) {
-	c, err := caller.NewClient(a.caller, caller.WithClient(&http.Client{Timeout: a.timeout}))
+	client, err := a.httpClient()
+	if err != nil {
+		return nil, err
+	}
+	c, err := caller.NewClient(a.caller, caller.WithClient(client))
 	if err != nil {
 		return nil, fail(ExitUsage, "--caller %q: %v", a.caller, err)
 	}
--- a/operator.go
+++ b/operator.go
@@ -54,7 +54,7 @@
 		if !open && subtle.ConstantTimeCompare([]byte(want), []byte(r.Header.Get("Authorization"))) != 1 {
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(http.StatusUnauthorized)
-			_ = json.NewEncoder(w).Encode(api.Error{Step: "authenticate operator", Reason: errUnauthorized.Error()})
+			_ = json.NewEncoder(w).Encode(&api.Error{Step: "authenticate operator", Reason: errUnauthorized.Error()})
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/peers.go
+++ b/peers.go
@@ -35,6 +35,9 @@
 // PeerLost implements peer.Handler.
 func (h *peerHandler) PeerLost(vm model.VM, which event.Connection) {
 	h.log.Warn().Str("step", "exchange traffic").Str("peer", string(vm)).Msg("connection lost")
+	if which != event.ConnectionOut {
+		h.tracing.loseEntry(vm)
+	}
 	for _, w := range h.workers {
 		if which != event.ConnectionIn {
 			w.losing.add(vm, 1)
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -8,17 +8,20 @@
 	"github.com/rotisserie/eris"
 )
 
-// Load reads the PEM files. It returns nil if no certificate is set. With a CA both ends must present a
+// Load reads the PEM files. It returns nil if none is set. With a CA both ends must present a
 // certificate that it signed.
 func (s TLS) Load() (*tls.Config, error) {
-	if s.Cert == "" {
+	if s == (TLS{}) {
 		return nil, nil
 	}
-	cert, err := tls.LoadX509KeyPair(s.Cert, s.Key)
-	if err != nil {
-		return nil, eris.Wrapf(err, "load certificate %s", s.Cert)
+	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
+	if s.Cert != "" || s.Key != "" {
+		cert, err := tls.LoadX509KeyPair(s.Cert, s.Key)
+		if err != nil {
+			return nil, eris.Wrapf(err, "load certificate %s", s.Cert)
+		}
+		cfg.Certificates = []tls.Certificate{cert}
 	}
-	cfg := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
 	if s.CA == "" {
 		return cfg, nil
 	}
--- a/tracing.go
+++ b/tracing.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/event"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -125,9 +126,43 @@
 			attribute.String("entry", string(r.Entry)),
 		))
 		r.Trace = traceContext(span.SpanContext())
+		id := subRequestID{r.Entry, r.Query, r.Run, r.Key}
 		t.mu.Lock()
-		t.subRequests[subRequestID{r.Entry, r.Query, r.Run, r.Key}] = span
+		earlier := t.subRequests[id]
+		t.subRequests[id] = span
 		t.mu.Unlock()
+		if earlier != nil {
+			earlier.End()
+		}
+	}
+}
+
+// cancelSubRequests ends the spans of sub-requests that were withdrawn and get no reply.
+func (t *tracing) cancelSubRequests(entry model.VM, list []event.Cancel) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range list {
+		t.withdraw(subRequestID{entry, c.Query, c.Run, c.Key})
+	}
+}
+
+// loseEntry ends the spans of the sub-requests of an entry daemon whose connection broke.
+func (t *tracing) loseEntry(entry model.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.subRequests {
+		if id.entry == entry {
+			t.withdraw(id)
+		}
+	}
+}
+
+// withdraw ends the span of a sub-request that gets no reply. The caller holds the lock.
+func (t *tracing) withdraw(id subRequestID) {
+	if span, ok := t.subRequests[id]; ok {
+		delete(t.subRequests, id)
+		span.SetAttributes(attribute.String("outcome", model.OutcomeCancelled.String()))
+		span.End()
 	}
 }
 
--- a/worker.go
+++ b/worker.go
@@ -210,6 +210,7 @@
 
 // receiveCancels hands cancels to the workers that own their shard keys.
 func (d *Daemon) receiveCancels(entry model.VM, list []event.Cancel) {
+	d.tracing.cancelSubRequests(entry, list)
 	split(list, func(c *event.Cancel) *worker { return d.workerOf(c.Key) },
 		func(w *worker, part []event.Cancel) { w.put(event.CancelsReceived{Entry: entry, Cancels: part}) })
 }
