strictjson: bound the nesting of a document

Cause: with the race detector, half a megabyte of opening brackets in a template ended the process with a stack overflow, which cannot be recovered. The parser of comments recurses at each level and has no bound. An operator could stop a daemon with one request, and a stored object all of them.

A document may now nest 64 levels; templates need 9. The scan that finds open strings checks it before any parser runs, and an open string is refused there too, so that it cannot hide brackets.

Ruled out: brackets in strings, in escapes and in both kinds of comment that make the scan miscount (tests for each).

--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -51,11 +51,11 @@
 	if line := invalidUTF8(text); line > 0 {
 		return nil, &Error{File: file, Line: line, Reason: "text is not UTF-8"}
 	}
+	if line, reason := scan(text); line > 0 {
+		return nil, &Error{File: file, Line: line, Reason: reason}
+	}
 	std, err := hujson.Standardize(bytes.Clone(text))
 	if err != nil {
-		if line := openString(text); line > 0 {
-			return nil, &Error{File: file, Line: line, Reason: "string is not closed on its line"}
-		}
 		return nil, &Error{File: file, Line: lineInMessage(err), Reason: withoutPosition(err)}
 	}
 	d := &Document{file: file, text: std}
@@ -116,10 +116,16 @@
 	return reason
 }
 
-// openString returns the first line with a string that does not end on it, or 0. The
-// decoder would report the next quote instead, on a later line.
-func openString(text []byte) int {
-	line := 1
+// maxDepth bounds the nesting of a document. The parser of comments recurses at each level:
+// half a megabyte of opening brackets took more than the 1 GB that a Go stack may grow to.
+const maxDepth = 64
+
+// scan looks for what the parsers must not see, and returns its line and the reason, or 0:
+// a string that does not end on its line, which they would report at the next quote on a later
+// line, and nesting deeper than maxDepth.
+func scan(text []byte) (line int, reason string) {
+	line = 1
+	depth := 0
 	var in byte // '"' in a string, '/' in a line comment, '*' in a block comment, or 0
 	for i := 0; i < len(text); i++ {
 		next := byte(0)
@@ -129,7 +135,7 @@
 		c := text[i]
 		switch {
 		case c == '\n' && in == '"':
-			return line
+			return line, "string is not closed on its line"
 		case c == '\n':
 			line++
 			if in == '/' {
@@ -145,12 +151,18 @@
 		case in == '*' && c == '*' && next == '/':
 			in = 0
 			i++
+		case in == 0 && (c == '{' || c == '['):
+			if depth++; depth > maxDepth {
+				return line, fmt.Sprintf("nested deeper than %d levels", maxDepth)
+			}
+		case in == 0 && (c == '}' || c == ']'):
+			depth--
 		}
 	}
 	if in == '"' {
-		return line
+		return line, "string is not closed on its line"
 	}
-	return 0
+	return 0, ""
 }
 
 func lineInMessage(err error) int {
--- a/template/template_test.go
+++ b/template/template_test.go
@@ -162,8 +162,27 @@
 	is.True(err != nil)
 	_, err = Parse("t.jsonc", []byte(valid+strings.Repeat(" ", maxSize)))
 	is.True(err != nil)
-	_, err = Parse("t.jsonc", []byte(strings.Repeat("[", maxSize/2))) // deep nesting
-	is.True(err != nil)
+}
+
+// TestNesting guards against a text that overflows the stack, which ends the process.
+func TestNesting(t *testing.T) {
+	deep := strings.Repeat("[", maxSize/2)
+	for _, text := range []string{
+		deep,
+		strings.ReplaceAll(deep[:maxSize/16], "[", `{"a":`),
+		"[\"a\n\"," + deep,
+		"[/* \" */" + deep,
+		"[// \"\n" + deep,
+		`["\\",` + deep,
+		`["\"",` + deep,
+	} {
+		is := is.New(t)
+		_, err := Parse("t.jsonc", []byte(text))
+		var fault *strictjson.Error
+		is.True(errors.As(err, &fault))
+		is.True(fault.Line > 0)
+		is.True(strings.Contains(fault.Reason, "nested deeper") || strings.Contains(fault.Reason, "not closed"))
+	}
 }
 
 // FuzzParse guards against templates that make the parser panic, and against an accepted
@@ -171,6 +190,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte(`{"zones":["a","a"]}`))
+	f.Add([]byte(`[/* " */ {"a\\": "\"]"} // [`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		m, err := Parse("f", text)
 		if err != nil {
