--- a/control.go
+++ b/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/gooseberrylock/gooseberrylock/core/event"
 	"github.com/gooseberrylock/gooseberrylock/internal/mailbox"
 	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/store"
 )
 
 const (
@@ -30,6 +32,7 @@
 	box   *mailbox.Mailbox[any] // event.Event or inspection
 
 	watchCancel context.CancelFunc // ends the current watch; nil without one
+	config      *model.ConfigView  // of the last view
 
 	mu       sync.Mutex
 	commands map[uint64]chan effect.CommandResult
@@ -102,7 +105,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			c.apply(ctx, event.Tick{Wall: time.Now()})
+			// Round drops the monotonic reading, which a recorded event does not keep: durations
+			// between two ticks would differ in a replay.
+			c.apply(ctx, event.Tick{Wall: time.Now().Round(0)})
 		case <-c.box.Ready():
 			items := c.box.Take(spare)
 			for i, item := range items {
@@ -167,6 +172,10 @@
 func (c *controlLoop) publish(v *model.View) {
 	c.d.metrics.view(v)
 	c.d.network.Forget(v.Peers)
+	if v.Config != c.config {
+		c.config = v.Config
+		c.d.backend.Keep(backendServers(v.Config))
+	}
 	for i, part := range c.d.viewsByWorker(v) {
 		c.d.workers[i].put(event.ViewPublished{View: part})
 	}
@@ -190,6 +199,21 @@
 	return parts
 }
 
+// backendServers lists the backend servers of a configuration.
+func backendServers(cfg *model.ConfigView) []model.BackendServer {
+	var list []model.BackendServer
+	for _, t := range cfg.Templates {
+		for i := range t.Routes {
+			for _, v := range t.Routes[i].Versions {
+				for _, s := range v.Shards {
+					list = append(list, s.Replicas...)
+				}
+			}
+		}
+	}
+	return list
+}
+
 func (c *controlLoop) reply(v effect.ReplyOperator) {
 	c.mu.Lock()
 	ch := c.commands[v.Command]
@@ -231,6 +255,10 @@
 	defer cancel()
 	obj, ok, err := c.d.store.Get(ctx, key)
 	c.d.metrics.storeCalls.Inc(1)
+	if errors.Is(err, store.ErrUnreadable) {
+		c.put(event.ObjectsReceived{FromStore: true}) // the store is up
+		return
+	}
 	if err != nil {
 		c.put(event.StoreFailed{Op: "read " + key.String(), Reason: err.Error()})
 		return
--- a/core/ownership/entry.go
+++ b/core/ownership/entry.go
@@ -52,6 +52,7 @@
 	clean   bool
 	running []model.RunningAttempt
 	submits []model.SeenSubmit
+	servers []model.ServerState
 
 	// A release that arrived before the conditions held.
 	released   *event.ReleasedKey
@@ -97,6 +98,7 @@
 	e.clean = false
 	e.running = nil
 	e.submits = nil
+	e.servers = nil
 	e.exempt = nil
 }
 
@@ -111,6 +113,7 @@
 		Clean:   e.clean,
 		Running: e.running,
 		Submits: e.submits,
+		Servers: e.servers,
 	}
 }
 
@@ -143,6 +146,7 @@
 		return false
 	}
 	e.clean = true
+	e.servers = k.Servers
 	for _, r := range k.Running {
 		left := r.Left - now.Sub(e.releasedAt)
 		if left > 0 {
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -300,7 +300,7 @@
 			From: h.cfg.Self,
 			Boot: h.tracker.Boot(),
 			To:   to,
-			Keys: []event.ReleasedKey{{Key: ev.Key, Running: ev.Running, Submits: ev.Submits}},
+			Keys: []event.ReleasedKey{{Key: ev.Key, Running: ev.Running, Submits: ev.Submits, Servers: ev.Servers}},
 		},
 	})
 }
--- a/daemon.go
+++ b/daemon.go
@@ -79,7 +79,7 @@
 	}
 	d.log = newLogger(cfg.Log, cfg.Settings)
 	var err error
-	if d.tls, err = loadTLS(cfg.Settings.TLS); err != nil {
+	if d.tls, err = cfg.Settings.TLS.Load(); err != nil {
 		return nil, err
 	}
 	if d.tracing, err = newTracing(cfg); err != nil {
@@ -88,15 +88,16 @@
 	if err := d.connectStore(); err != nil {
 		return nil, err
 	}
+	boot := model.Boot(rand.Uint64() | 1)
 	d.backend = cfg.Backend
 	if d.backend == nil {
-		d.backend = backend.NewHTTP(nil)
+		d.backend = backend.NewHTTP(backend.Config{Self: cfg.Settings.VM, Boot: boot})
 	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	d.network = peer.New(peer.Config{Self: cfg.Settings.VM, TLS: d.tls}, (*peerHandler)(d))
-	d.buildLoops()
+	d.network = peer.New(peer.Config{Self: cfg.Settings.VM, TLS: d.tls, Unreadable: d.unreadable}, (*peerHandler)(d))
+	d.buildLoops(boot)
 	return d, nil
 }
 
@@ -105,11 +106,20 @@
 	if d.store != nil {
 		return nil
 	}
-	s, err := store.NewHTTP(d.cfg.Settings.Store.URL, &http.Client{})
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil // the store is reached by its IP number
+	s, err := store.NewHTTP(d.cfg.Settings.Store.URL, &http.Client{Transport: transport}, d.unreadable)
 	d.store = s
 	return err
 }
 
+// unreadable reports an object of the store or of a peer that this version cannot read.
+func (d *Daemon) unreadable(key model.ObjectKey, version uint64, err error) {
+	d.metrics.unreadable.Inc(1)
+	d.log.Warn().Str("step", "read object").Str("object", key.String()).Uint64("version", version).
+		Err(err).Msg("object left out")
+}
+
 func (d *Daemon) listen() error {
 	a := d.cfg.Settings.Addresses
 	for _, l := range []struct {
@@ -139,9 +149,8 @@
 }
 
 // buildLoops creates the control loop and the traffic workers.
-func (d *Daemon) buildLoops() {
+func (d *Daemon) buildLoops(boot model.Boot) {
 	s := d.cfg.Settings
-	boot := model.Boot(rand.Uint64() | 1)
 	cfg := core.Config{
 		Self:              s.VM,
 		Boot:              boot,
--- a/tlsconfig.go
+++ b/settings/tls.go
@@ -1,4 +1,4 @@
-package gooseberrylock
+package settings
 
 import (
 	"crypto/tls"
@@ -6,21 +6,22 @@
 	"os"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/gooseberrylock/gooseberrylock/settings"
 )
 
-// loadTLS returns nil if no certificate is set. With a CA both ends must present a
+// Load reads the PEM files. It returns nil if none is set. With a CA both ends must present a
 // certificate that it signed.
-func loadTLS(s settings.TLS) (*tls.Config, error) {
-	if s.Cert == "" {
+func (s TLS) Load() (*tls.Config, error) {
+	if s == (TLS{}) {
 		return nil, nil
 	}
-	cert, err := tls.LoadX509KeyPair(s.Cert, s.Key)
-	if err != nil {
-		return nil, eris.Wrapf(err, "load certificate %s", s.Cert)
+	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
+	if s.Cert != "" || s.Key != "" {
+		cert, err := tls.LoadX509KeyPair(s.Cert, s.Key)
+		if err != nil {
+			return nil, eris.Wrapf(err, "load certificate %s", s.Cert)
+		}
+		cfg.Certificates = []tls.Certificate{cert}
 	}
-	cfg := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
 	if s.CA == "" {
 		return cfg, nil
 	}
