--- a/control_test.go
+++ b/control_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gooseberrylock/gooseberrylock/backend"
 	"github.com/gooseberrylock/gooseberrylock/core"
 	"github.com/gooseberrylock/gooseberrylock/core/event"
 	"github.com/gooseberrylock/gooseberrylock/model"
@@ -14,7 +15,7 @@
 
 // newTestDaemon returns a daemon of which only the parts that publish views exist.
 func newTestDaemon(workers int) *Daemon {
-	d := &Daemon{metrics: newMeters()}
+	d := &Daemon{metrics: newMeters(), backend: backend.NewHTTP(backend.Config{Self: "vm-a"})}
 	d.network = peer.New(peer.Config{Self: "vm-a"}, nil)
 	d.control = newControlLoop(d, nil)
 	for i := range workers {
--- a/internal/scenario/proofs_test.go
+++ b/internal/scenario/proofs_test.go
@@ -15,8 +15,8 @@
 
 // Bounds from the brief: "a few seconds" for zones, leaving servers and configuration.
 const (
-	fewSeconds = 3 * time.Second
-	testLoad   = 0.15
+	promptly = 3 * time.Second
+	testLoad = 0.15
 )
 
 // seeds runs a test once per seed, in parallel.
@@ -235,7 +235,7 @@
 				}
 				is.Equal(res.Code, want)
 				for _, s := range w.ServersIn(zone) {
-					is.True(s.LastStart <= ordered+fewSeconds) // no new work after a few seconds
+					is.True(s.LastStart <= ordered+promptly) // no new work after a few seconds
 				}
 				w.Store.SetDown(false)
 				w.Run(5 * time.Second)
@@ -356,7 +356,7 @@
 				w.Store.SetDown(i%3 == 1) // the store fails right after it has accepted the command
 			})
 			took, ok := w.InForce(5*time.Second, func(v *model.View) bool { return v.Config.Paused == (i%2 == 0) })
-			is.True(ok && took <= fewSeconds)
+			is.True(ok && took <= promptly)
 			w.Store.SetDown(false)
 			w.Run(4 * time.Second)
 		}
