Report not ready before new requests are refused

Cause: a VM whose zone is taken out reported ready until the moment at which it began to refuse requests, so the balancer had no time to notice. A daemon with a short drain delay could also stop before the others had heard that it claims nothing any more.

The view says at once that the VM leaves, which ends readiness, and only later that it refuses. Heartbeats go on for at least 300 ms after the hand-over. Refusing later for everyone was ruled out: the zone has to be quiet after a few seconds.

--- a/core/control.go
+++ b/core/control.go
@@ -324,6 +324,7 @@
 		Peers:    c.members.Peers(now),
 		Owners:   c.keys.Owners(now),
 		Leases:   c.keys.Leases(now),
+		Leaving:  c.away,
 		Draining: c.away && now.Sub(c.awayAt) >= c.cfg.DrainDelay,
 	}
 }
--- a/daemon.go
+++ b/daemon.go
@@ -237,6 +237,10 @@
 	}
 }
 
+// leaveLinger is the least time for which heartbeats go on after the hand-over is complete, so
+// that the others hear that this VM claims nothing any more.
+const leaveLinger = 300 * time.Millisecond
+
 // drainPoll is the interval at which Shutdown looks for running requests.
 const drainPoll = 20 * time.Millisecond
 
@@ -258,7 +262,7 @@
 	case <-ctx.Done():
 		return
 	}
-	delay := time.NewTimer(time.Duration(d.cfg.Settings.Traffic.DrainDelay))
+	delay := time.NewTimer(max(time.Duration(d.cfg.Settings.Traffic.DrainDelay), leaveLinger))
 	defer delay.Stop()
 	select {
 	case <-delay.C:
--- a/internal/scenario/table_test.go
+++ b/internal/scenario/table_test.go
@@ -152,7 +152,8 @@
 		{"configuration in force, store fails right after it accepted", func(seed uint64) time.Duration { return pauseTime(seed, true) }},
 		{"last attempt in a zone after zone out, store up", func(seed uint64) time.Duration { return zoneTime(seed, false) }},
 		{"last attempt in a zone after zone out, store down", func(seed uint64) time.Duration { return zoneTime(seed, true) }},
-		{"every shard has an owner again after a crash", ownerTime},
+		{"searched shards have an owner again after a crash", func(seed uint64) time.Duration { return ownerTime(seed, true) }},
+		{"all shards, with attempts of up to 2 s, after a crash", func(seed uint64) time.Duration { return ownerTime(seed, false) }},
 	} {
 		var times []time.Duration
 		for seed := range uint64(runs) {
@@ -187,9 +188,14 @@
 	return last - ordered
 }
 
-// ownerTime is from a crash until every shard key has an owner again.
-func ownerTime(seed uint64) time.Duration {
-	w := NewWorld(vtime.Taproom(), seed)
+// ownerTime is from a crash until every shard key, or those of the searched routes only, has
+// an owner again.
+func ownerTime(seed uint64, searched bool) time.Duration {
+	d := vtime.Taproom()
+	if searched {
+		d.Routes = d.Routes[:2]
+	}
+	w := NewWorld(d, seed)
 	w.Run(10 * time.Second)
 	wanted := wantedKeys(w)
 	w.Nodes[seed%8].Crash()
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -169,7 +169,7 @@
 
 // isReady is what a daemon answers to the balancer's readiness check.
 func isReady(n *vtime.Node) bool {
-	return n.View != nil && len(n.View.Config.Templates) > 0 && !n.View.Draining
+	return n.View != nil && len(n.View.Config.Templates) > 0 && !n.View.Leaving
 }
 
 // Search sends one search and records its answer.
--- a/metrics.go
+++ b/metrics.go
@@ -97,7 +97,7 @@
 func (m *meters) view(v *model.View) {
 	m.leases.Update(int64(len(v.Leases)))
 	m.revision.Update(int64(v.Config.Revision))
-	m.ready.Store(len(v.Config.Templates) > 0 && !v.Draining)
+	m.ready.Store(len(v.Config.Templates) > 0 && !v.Leaving)
 }
 
 // handler serves the metrics as JSON, or with ?format=prometheus in the text format that
--- a/model/view.go
+++ b/model/view.go
@@ -9,7 +9,9 @@
 	Peers  map[VM]Peer
 	Owners map[ShardKey]Owner // who is believed to own each shard key
 	Leases map[ShardKey]Lease // shard keys that this VM may dispatch for
-	// Draining is set when this VM leaves or its zone is out: it takes no new requests.
+	// Leaving is set as soon as this VM leaves or its zone is out: it reports not ready.
+	Leaving bool
+	// Draining is set some time later, when the balancer has noticed: new requests are refused.
 	Draining bool
 }
 
