--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -55,13 +55,26 @@
 
 func (a *app) standinSearcherCommand() *cobra.Command {
 	var listen string
+	var printSubmits bool
+	var snapshotEvery time.Duration
 	cfg := standin.SearcherConfig{}
 	cmd := &cobra.Command{
 		Use:   "searcher",
 		Short: "Run a backend server with made-up documents",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return a.serve(cmd.Context(), "searcher", listen, standin.NewSearcher(cfg).Handler())
+			if printSubmits {
+				// A line per run reaches the reader even if the process is killed later.
+				cfg.OnSubmit = func(query string) { fmt.Fprintf(a.out, "submit %s\n", query) }
+			}
+			if snapshotEvery > 0 {
+				cfg.FirstNewest = time.Now().UnixNano() / int64(snapshotEvery)
+			}
+			s := standin.NewSearcher(cfg)
+			if snapshotEvery > 0 {
+				go publish(cmd.Context(), s, cfg.FirstNewest, snapshotEvery)
+			}
+			return a.serve(cmd.Context(), "searcher", listen, s.Handler())
 		},
 	}
 	f := cmd.Flags()
@@ -74,9 +87,25 @@
 	f.Float64Var(&cfg.SlowShare, "slow-share", 0.01, "share of attempts that take ten times as long")
 	f.Float64Var(&cfg.FailShare, "fail-share", 0, "share of attempts that fail")
 	f.IntVar(&cfg.Hits, "hits", 5, "hits per attempt")
+	f.BoolVar(&printSubmits, "print-submits", false, "print a line for each submit that is run")
+	f.DurationVar(&snapshotEvery, "snapshot-every", 0, "time from one snapshot to the next, by the wall clock; 0 for one snapshot only")
 	return cmd
 }
 
+// publish makes a searcher serve the snapshot whose number is the wall-clock time divided by
+// period, so that a searcher that was started again serves the same snapshots as the others.
+func publish(ctx context.Context, s *standin.Searcher, newest int64, period time.Duration) {
+	for {
+		newest++
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(time.Unix(0, newest*int64(period)))):
+			s.Publish()
+		}
+	}
+}
+
 // serve runs a stand-in until it is interrupted. It refuses addresses off loopback.
 func (a *app) serve(ctx context.Context, name, listen string, h http.Handler) error {
 	host, _, err := net.SplitHostPort(listen)
--- a/standin/searcher.go
+++ b/standin/searcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -17,15 +18,16 @@
 // SearcherConfig describes a backend server stand-in.
 type SearcherConfig struct {
 	ID          string
-	Slots       int           // attempts that run at once when warm; more are shed
-	ColdSlots   int           // attempts that run at once in cold start; one more and it falls over
-	WarmAfter   int           // attempts that end the cold start
-	Median      time.Duration // of the service time, which is lognormal
-	Sigma       float64       // of the logarithm of the service time
-	SlowShare   float64       // share of attempts that take ten times as long, 0 to 1
-	FailShare   float64       // share of attempts that fail, 0 to 1
-	Hits        int           // hits per attempt
-	FirstNewest int64         // newest snapshot at the start
+	Slots       int                // attempts that run at once when warm; more are shed
+	ColdSlots   int                // attempts that run at once in cold start; one more and it falls over
+	WarmAfter   int                // attempts that end the cold start
+	Median      time.Duration      // of the service time, which is lognormal
+	Sigma       float64            // of the logarithm of the service time
+	SlowShare   float64            // share of attempts that take ten times as long, 0 to 1
+	FailShare   float64            // share of attempts that fail, 0 to 1
+	Hits        int                // hits per attempt
+	FirstNewest int64              // newest snapshot at the start
+	OnSubmit    func(query string) // called before a submit runs; nil for none
 }
 
 // snapshotsKept is the number of snapshots that a searcher serves beside the newest.
@@ -66,13 +68,20 @@
 	return s
 }
 
-// Handler returns the HTTP handler of the searcher.
+// Handler returns the HTTP handler of the searcher. GET /stats returns its SearcherStats as
+// JSON.
 func (s *Searcher) Handler() http.Handler {
 	h, err := api.NewServer(s)
 	if err != nil {
 		panic(err) // only a fault in the generated code can cause this
 	}
-	return h
+	mux := http.NewServeMux()
+	mux.Handle("/", h)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Stats())
+	})
+	return mux
 }
 
 // Restart returns the searcher to cold start with a new boot number.
@@ -165,6 +174,9 @@
 	s.stats.MaxRunning = max(s.stats.MaxRunning, s.running)
 	if req.Kind == api.ExecuteRequestKindSubmit {
 		s.stats.Submits[req.Query]++
+		if s.cfg.OnSubmit != nil {
+			s.cfg.OnSubmit(req.Query)
+		}
 	}
 	return nil, snapshot, s.serviceTime(cold), rand.Float64() < s.cfg.FailShare
 }
