daemon: name the TLS field at fault, take signals during the start

Cause: an error about a certificate named the file but not the field, and a SIGTERM during the reading of the settings or the binding of addresses ended the process by the signal instead of with 0.

The signal handler is now registered first.

--- a/cmd/gooseberrylockd/main.go
+++ b/cmd/gooseberrylockd/main.go
@@ -37,6 +37,9 @@
 }
 
 func run(ctx context.Context, file string) error {
+	// A signal that arrives while the daemon starts ends it gracefully too.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
@@ -47,8 +50,6 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		go func() {
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -20,6 +21,9 @@
 // patience bounds every wait for a condition; no duration is asserted.
 const patience = 60 * time.Second
 
+// maxShown bounds what is shown of the output of a process when a test fails, in bytes.
+const maxShown = 4 << 10
+
 const (
 	daemons  = 3
 	shards   = 4
@@ -31,6 +35,13 @@
 	t   *testing.T
 	bin string
 	dir string
+
+	drainDelay    string
+	floor         float64 // coverage floor of the routes
+	searcherFlags []string
+	searchers     []*searcher
+
+	until time.Time // end of every wait; zero for patience after its start
 }
 
 func (d *deployment) build() {
@@ -49,7 +60,8 @@
 	cmd  *exec.Cmd
 	mu   sync.Mutex
 	out  bytes.Buffer
-	done chan error
+	done chan struct{} // closed when the process has ended
+	err  error         // of the process; valid when done is closed
 }
 
 // Write implements io.Writer.
@@ -67,17 +79,22 @@
 
 func (d *deployment) start(name, program string, args ...string) *process {
 	d.t.Helper()
-	p := &process{name: name, cmd: exec.Command(filepath.Join(d.bin, program), args...), done: make(chan error, 1)}
+	p := &process{name: name, cmd: exec.Command(filepath.Join(d.bin, program), args...), done: make(chan struct{})}
 	p.cmd.Stdout = p
 	p.cmd.Stderr = p
 	if err := p.cmd.Start(); err != nil {
 		d.t.Fatalf("start %s: %v", name, err)
 	}
-	go func() { p.done <- p.cmd.Wait() }()
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
 	d.t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
+		<-p.done
 		if d.t.Failed() {
-			d.t.Logf("%s printed:\n%s", name, p.output())
+			out := p.output()
+			d.t.Logf("%s printed at the end:\n%s", name, out[max(len(out)-maxShown, 0):])
 		}
 	})
 	return p
@@ -93,7 +110,10 @@
 // wait repeats check until it succeeds.
 func (d *deployment) wait(what string, check func() error) {
 	d.t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := d.until
+	if deadline.IsZero() {
+		deadline = time.Now().Add(patience)
+	}
 	for {
 		err := check()
 		if err == nil {
@@ -106,14 +126,19 @@
 	}
 }
 
+// freeAddress returns an address that nobody listens on. Its port lies below the range from
+// which Linux takes the ports of outgoing connections: one of those could otherwise take the
+// port of a process while it is down.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000))
+		lis, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = lis.Close()
+			return address
+		}
 	}
-	defer lis.Close()
-	return lis.Addr().String()
 }
 
 func (d *deployment) file(name, text string) string {
@@ -127,24 +152,39 @@
 
 var zones = []string{"vestland-a", "vestland-b", "vestland-c", "vestland-d"}
 
-// template starts the searchers and returns a template that names them.
-func (d *deployment) template() string {
+// searcher is a backend server, with all processes that have run as it.
+type searcher struct {
+	id, zone, address string
+
+	args  []string
+	procs []*process
+}
+
+func (d *deployment) startSearcher(id, zone string) *searcher {
+	s := &searcher{id: id, zone: zone, address: freeAddress(d.t)}
+	s.args = append([]string{"standin", "searcher", "--listen", s.address, "--median", "2ms"}, d.searcherFlags...)
+	d.restartSearcher(s)
+	d.searchers = append(d.searchers, s)
+	return s
+}
+
+func (d *deployment) restartSearcher(s *searcher) {
+	s.procs = append(s.procs, d.start(s.id, "gooseberrylock", s.args...))
+}
+
+// route starts the searchers of a route and returns its part of the template.
+func (d *deployment) route(name string, shards int) string {
 	var list []string
 	for s := range shards {
 		var servers []string
 		for r := range replicas {
-			id := fmt.Sprintf("searcher-%d-%d", s, r)
-			address := freeAddress(d.t)
-			d.start(id, "gooseberrylock", "standin", "searcher", "--listen", address, "--median", "2ms")
-			servers = append(servers, fmt.Sprintf(`{"id": %q, "zone": %q, "address": %q}`, id, zones[(s+r)%len(zones)], address))
+			b := d.startSearcher(fmt.Sprintf("%s-%d-%d", name, s, r), zones[(s+r)%len(zones)])
+			servers = append(servers, fmt.Sprintf(`{"id": %q, "zone": %q, "address": %q}`, b.id, b.zone, b.address))
 		}
 		list = append(list, fmt.Sprintf(`{"shard": "s%d", "backendServers": [%s]}`, s, strings.Join(servers, ", ")))
 	}
 	return fmt.Sprintf(`{
-  "customer": "haugland",
-  "zones": ["vestland-a", "vestland-b", "vestland-c", "vestland-d"],
-  "routes": [{
-    "route": "portal-search", "timeout": "2s", "attemptTimeout": "1s", "coverageFloor": 0.5,
+    "route": %q, "timeout": "2s", "attemptTimeout": "1s", "coverageFloor": %g,
     "classes": ["suggest", "portal", "archive"], "defaultClass": "portal",
     "stableVersion": "v1",
     "versions": [{
@@ -152,8 +192,15 @@
       "limits": {"slots": 3, "connections": 30, "connectCost": "6ms", "coldSlots": 1},
       "shards": [%s],
     }],
-  }],
-}`, strings.Join(list, ",\n"))
+  }`, name, d.floor, strings.Join(list, ",\n"))
+}
+
+func customer(routes ...string) string {
+	return fmt.Sprintf(`{
+  "customer": "haugland",
+  "zones": ["vestland-a", "vestland-b", "vestland-c", "vestland-d"],
+  "routes": [%s],
+}`, strings.Join(routes, ",\n"))
 }
 
 type addresses struct{ caller, peer, operator string }
@@ -164,14 +211,69 @@
   "vm": %q, "group": "vestland", "zone": %q,
   "addresses": {"caller": %q, "peer": %q, "operator": %q},
   "store": {"url": "http://%s"},
-  "traffic": {"drainDelay": "200ms"},
-}`, name, zones[i%len(zones)], a.caller, a.peer, a.operator, store))
+  "traffic": {"drainDelay": %q},
+}`, name, zones[i%len(zones)], a.caller, a.peer, a.operator, store, d.drainDelay))
 	return d.start(name, "gooseberrylockd", "--settings", file)
 }
 
+// startStore starts a store that lists n daemons. It returns its address and those of the
+// daemons.
+func (d *deployment) startStore(n int) (p *process, store string, addrs []addresses) {
+	store = freeAddress(d.t)
+	args := []string{"standin", "store", "--listen", store}
+	for i := range n {
+		a := addresses{freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)}
+		addrs = append(addrs, a)
+		args = append(args, "--vm", fmt.Sprintf("entry-%d,%s,%s", i, zones[i%len(zones)], a.peer))
+	}
+	return d.start("store", "gooseberrylock", args...), store, addrs
+}
+
+func (d *deployment) apply(file string, a addresses) {
+	d.t.Helper()
+	d.wait("apply", func() error {
+		out, err := d.command("apply", file, "--daemon", "http://"+a.operator)
+		if err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
+		return nil
+	})
+}
+
 type status struct {
 	OwnedShards  int `json:"ownedShards"`
 	WantedShards int `json:"wantedShards"`
+
+	ZonesOut  []string `json:"zonesOut"`
+	Overrides []string `json:"overrides"`
+	StoreUp   bool     `json:"storeUp"`
+}
+
+func (d *deployment) status(a addresses) (s status, err error) {
+	out, err := d.command("status", "--output", "json", "--timeout", "2s", "--daemon", "http://"+a.operator)
+	if err != nil {
+		return s, fmt.Errorf("%w: %s", err, out)
+	}
+	return s, json.Unmarshal([]byte(out), &s)
+}
+
+// owned returns an error unless each of the wanted shards has exactly one owner.
+func (d *deployment) owned(addrs []addresses, wanted int) error {
+	owned := 0
+	for _, a := range addrs {
+		s, err := d.status(a)
+		if err != nil {
+			return err
+		}
+		if s.WantedShards != wanted {
+			return fmt.Errorf("a daemon wants %d of %d shards", s.WantedShards, wanted)
+		}
+		owned += s.OwnedShards
+	}
+	if owned != wanted {
+		return fmt.Errorf("%d of %d shards have an owner", owned, wanted)
+	}
+	return nil
 }
 
 // TestSeparateProcesses guards against a break anywhere on the path of a request through
@@ -181,52 +283,18 @@
 		t.Skip("builds and starts a dozen processes")
 	}
 	is := is.New(t)
-	d := &deployment{t: t, bin: t.TempDir(), dir: t.TempDir()}
+	d := &deployment{t: t, bin: t.TempDir(), dir: t.TempDir(), drainDelay: "200ms", floor: 0.5}
 	d.build()
 
-	store := freeAddress(t)
-	storeArgs := []string{"standin", "store", "--listen", store}
-	var addrs []addresses
-	for i := range daemons {
-		a := addresses{freeAddress(t), freeAddress(t), freeAddress(t)}
-		addrs = append(addrs, a)
-		storeArgs = append(storeArgs, "--vm", fmt.Sprintf("entry-%d,%s,%s", i, zones[i], a.peer))
-	}
-	d.start("store", "gooseberrylock", storeArgs...)
+	_, store, addrs := d.startStore(daemons)
 	var procs []*process
 	for i, a := range addrs {
 		procs = append(procs, d.daemon(i, a, store))
 	}
 
-	file := d.file("haugland.jsonc", d.template())
-	d.wait("apply", func() error {
-		out, err := d.command("apply", file, "--daemon", "http://"+addrs[0].operator)
-		if err != nil {
-			return fmt.Errorf("%w: %s", err, out)
-		}
-		return nil
-	})
-	d.wait("every shard has one owner", func() error {
-		owned := 0
-		for _, a := range addrs {
-			out, err := d.command("status", "--output", "json", "--daemon", "http://"+a.operator)
-			if err != nil {
-				return fmt.Errorf("%w: %s", err, out)
-			}
-			var s status
-			if err := json.Unmarshal([]byte(out), &s); err != nil {
-				return err
-			}
-			if s.WantedShards != shards {
-				return fmt.Errorf("a daemon wants %d shards", s.WantedShards)
-			}
-			owned += s.OwnedShards
-		}
-		if owned != shards {
-			return fmt.Errorf("%d of %d shards have an owner", owned, shards)
-		}
-		return nil
-	})
+	file := d.file("haugland.jsonc", customer(d.route("portal-search", shards)))
+	d.apply(file, addrs[0])
+	d.wait("every shard has one owner", func() error { return d.owned(addrs, shards) })
 	for _, a := range addrs {
 		d.wait("complete answer", func() error {
 			out, err := d.command("search", "logo", "--customer", "haugland", "--route", "portal-search", "--caller", "http://"+a.caller)
@@ -244,8 +312,8 @@
 	}
 	for _, p := range procs {
 		select {
-		case err := <-p.done:
-			is.NoErr(err) // a graceful shutdown exits with 0
+		case <-p.done:
+			is.NoErr(p.err) // a graceful shutdown exits with 0
 		case <-time.After(patience):
 			t.Fatalf("%s did not stop", p.name)
 		}
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -18,7 +18,7 @@
 	if s.Cert != "" || s.Key != "" {
 		cert, err := tls.LoadX509KeyPair(s.Cert, s.Key)
 		if err != nil {
-			return nil, eris.Wrapf(err, "load certificate %s", s.Cert)
+			return nil, eris.Wrapf(err, "tls.cert %s with tls.key %s", s.Cert, s.Key)
 		}
 		cfg.Certificates = []tls.Certificate{cert}
 	}
@@ -27,11 +27,11 @@
 	}
 	pem, err := os.ReadFile(s.CA)
 	if err != nil {
-		return nil, eris.Wrapf(err, "load CA %s", s.CA)
+		return nil, eris.Wrapf(err, "tls.ca %s", s.CA)
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, eris.Errorf("CA file %s holds no certificate in PEM format", s.CA)
+		return nil, eris.Errorf("tls.ca %s holds no certificate in PEM format", s.CA)
 	}
 	cfg.RootCAs = pool
 	cfg.ClientCAs = pool
