admission: leave out replicas that straggle

Cause: a replica that becomes ten times slower keeps taking requests, because the choice went by free slots first; every query touches every shard, so a few such replicas set the tail.

A replica above three times the latency of the fastest one gets a request only as a probe, or when waiting for the faster one would take longer. Sending probes as duplicates was ruled out: their loser is cancelled before it tells anything.

--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -63,11 +63,15 @@
 	healthy := slices.ContainsFunc(k.servers, func(s *server) bool {
 		return s.usable && !s.failing(now) && s.limitAt(now) > 0 && !r.triedOn(s)
 	})
+	fastest := k.fastest(r, now)
 	var best *server
 	for _, s := range k.servers {
 		if !s.hasFreeSlot(now) || r.triedOn(s) || healthy && s.failing(now) {
 			continue
 		}
+		if s.straggles(fastest) && !k.worthwhile(s, fastest, now) {
+			continue
+		}
 		if best == nil || s.better(best, now) {
 			best = s
 		}
@@ -107,6 +111,9 @@
 		hedge:      hedge,
 	}
 	o.attempts[a.id] = a
+	if s.straggles(k.fastest(&request{}, o.now)) {
+		s.pace.probed(o.now)
+	}
 	s.inFlight++
 	r.attempts = append(r.attempts, a)
 	r.tried = append(r.tried, s.config.ID)
--- a/core/admission/server.go
+++ b/core/admission/server.go
@@ -61,6 +61,7 @@
 	inFlight  int          // own attempts, also cancelled ones, until reported done
 	inherited []model.Time // ends of the previous owner's attempts, sorted
 
+	pace     pace
 	recent   average
 	longTerm average
 	failedAt model.Time
@@ -259,6 +260,7 @@
 	default:
 		return false
 	}
+	s.observePace(latency, outcome == model.OutcomeOK)
 	trusted := s.longTerm.samples >= stepSamples
 	sample := latency
 	if trusted {
@@ -269,6 +271,17 @@
 	return trusted && s.recent.value > LatencyStep*s.longTerm.value
 }
 
+// observePace updates the latency for the choice between replicas. A straggler that answers in
+// its usual time, as before it slowed down, has recovered.
+func (s *server) observePace(latency float64, exact bool) {
+	slow := s.pace.latency.value > stragglerRatio*s.longTerm.value
+	if exact && slow && latency < 2*s.longTerm.value {
+		s.pace.recovered(latency)
+		return
+	}
+	s.pace.observe(latency, exact)
+}
+
 func (s *server) failedRecently(now model.Time) bool {
 	return s.streak > 0 && now < s.failedAt.Add(recentFailure)
 }
--- a/internal/scenario/table_test.go
+++ b/internal/scenario/table_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"text/tabwriter"
@@ -16,7 +17,11 @@
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
-var table = flag.Bool("table", false, "print the tables of docs/MEASUREMENTS.md")
+var (
+	table     = flag.Bool("table", false, "print the tables of docs/MEASUREMENTS.md")
+	tableSeed = flag.Uint64("tableseed", 1, "seed of the runs in the tables")
+	tableRows = flag.String("tablerows", "", "only the cases whose name contains this text")
+)
 
 // measurement is one row: a deployment under load while something happens.
 type measurement struct {
@@ -99,6 +104,9 @@
 	limit := make(chan struct{}, 6)
 	for i, d := range deployments {
 		for j, m := range measurements {
+			if !strings.Contains(m.name, *tableRows) {
+				continue
+			}
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -110,12 +118,14 @@
 	}
 	wg.Wait()
 	for _, r := range rows {
-		fmt.Fprintln(out, r)
+		if r != "" {
+			fmt.Fprintln(out, r)
+		}
 	}
 }
 
 func (m *measurement) row(d vtime.Deployment) string {
-	w := NewWorld(d, 1)
+	w := NewWorld(d, *tableSeed)
 	w.Warm(m.load)
 	slots, cold := w.Overruns()
 	if m.start != nil {
