peer: allocate the hits of a reply at once

Cause: the allocation profile of BenchmarkSearch with remote owners shows one allocation per hit in subReplyToPB and growing slices in both directions. The hits of a reply live and die together, so one array holds them.

Local owners are not concerned.

--- a/peer/convert.go
+++ b/peer/convert.go
@@ -95,13 +95,38 @@
 		Reason:   r.Reason,
 		Owner:    ownerToPB(r.Owner),
 	}
-	for i := range r.Hits {
-		h := &r.Hits[i]
-		p.Hits = append(p.Hits, &peerpb.Hit{Document: h.Document, Score: h.Score, Body: h.Body})
-	}
+	p.Hits = hitsToPB(r.Hits)
 	return p
 }
 
+// hitsToPB allocates all hits of a reply at once, since a reply carries several.
+func hitsToPB(list []model.Hit) []*peerpb.Hit {
+	if len(list) == 0 {
+		return nil
+	}
+	hits := make([]peerpb.Hit, len(list))
+	pointers := make([]*peerpb.Hit, len(list))
+	for i := range list {
+		h := &hits[i]
+		h.Document = list[i].Document
+		h.Score = list[i].Score
+		h.Body = list[i].Body
+		pointers[i] = h
+	}
+	return pointers
+}
+
+func hitsFromPB(list []*peerpb.Hit) []model.Hit {
+	if len(list) == 0 {
+		return nil
+	}
+	hits := make([]model.Hit, len(list))
+	for i, h := range list {
+		hits[i] = model.Hit{Document: h.GetDocument(), Score: h.GetScore(), Body: h.GetBody()}
+	}
+	return hits
+}
+
 func subReplyFromPB(p *peerpb.SubReply) model.SubReply {
 	r := model.SubReply{
 		Query:    model.QueryID(p.GetQuery()),
@@ -116,9 +141,7 @@
 		Reason:   p.GetReason(),
 		Owner:    ownerFromPB(p.GetOwner()),
 	}
-	for _, h := range p.GetHits() {
-		r.Hits = append(r.Hits, model.Hit{Document: h.GetDocument(), Score: h.GetScore(), Body: h.GetBody()})
-	}
+	r.Hits = hitsFromPB(p.GetHits())
 	return r
 }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -170,7 +170,10 @@
 // Requests sends sub-requests to their owner, over a connection that is opened when
 // needed.
 func (n *Network) Requests(to model.VM, address string, r []model.SubRequest) {
-	m := &peerpb.TrafficMessage{From: string(n.cfg.Self)}
+	m := &peerpb.TrafficMessage{
+		From:     string(n.cfg.Self),
+		Requests: make([]*peerpb.SubRequest, 0, len(r)),
+	}
 	for i := range r {
 		m.Requests = append(m.Requests, subRequestToPB(&r[i]))
 	}
@@ -181,7 +184,10 @@
 
 // Cancels withdraws sub-requests if there is a connection to their owner.
 func (n *Network) Cancels(to model.VM, c []event.Cancel) {
-	m := &peerpb.TrafficMessage{From: string(n.cfg.Self)}
+	m := &peerpb.TrafficMessage{
+		From:    string(n.cfg.Self),
+		Cancels: make([]*peerpb.Cancel, 0, len(c)),
+	}
 	for i := range c {
 		m.Cancels = append(m.Cancels, cancelToPB(&c[i]))
 	}
@@ -196,7 +202,10 @@
 // Replies answers an entry daemon on the stream that it opened. Without one the replies are
 // dropped, since the entry daemon has seen the loss of the connection.
 func (n *Network) Replies(to model.VM, r []model.SubReply) {
-	m := &peerpb.TrafficMessage{From: string(n.cfg.Self)}
+	m := &peerpb.TrafficMessage{
+		From:    string(n.cfg.Self),
+		Replies: make([]*peerpb.SubReply, 0, len(r)),
+	}
 	for i := range r {
 		m.Replies = append(m.Replies, subReplyToPB(&r[i]))
 	}
