moves: leave latencies out of the evidence while the new version is cold

Cause: servers in cold start take twice as long, and at 1% of the queries they stay cold for most of a short move. The slow measure took that for a bad version: 15 pairs to 0 of 28 were enough.

Until the new version of a route has ended WarmAfter queries per replica, the daemon that saw a slow pair leaves it out. Failures count from the start. The first stage passes on pairs of the failure measure alone in that time; the second one needs pairs of warm servers.

Ruled out: leaving out early pairs when evidence is summed. A daemon that restarts merges all counters late and cannot tell the early pairs.

Price: a slow version is seen only after the warm-up.

Servers of the new version that restart later in the move still count as slow.

--- a/core/moves/moves.go
+++ b/core/moves/moves.go
@@ -113,7 +113,12 @@
 	if st == nil || !covers(m, ev.Evidence.Route) {
 		return
 	}
-	st.route(ev.Evidence.Route).add(source{c.self, c.boot}, ev.Evidence)
+	r := st.route(ev.Evidence.Route)
+	inc := ev.Evidence
+	if c.warming(m, r) {
+		inc.Slow = model.PairCounts{}
+	}
+	r.add(source{c.self, c.boot}, inc)
 }
 
 // Heartbeat takes in the evidence of a peer.
--- a/core/moves/pace.go
+++ b/core/moves/pace.go
@@ -91,6 +91,9 @@
 func (c *Controller) missingPairs(m *model.Move) (route model.RouteID, have uint64, missing bool) {
 	for i, id := range m.Routes {
 		have := c.stagePairs(m, i, id)
+		if stageOf(m) == 0 {
+			have = max(have, c.warmingPairs(m, id))
+		}
 		if have < stages[stageOf(m)].pairs {
 			return id, have, true
 		}
@@ -108,6 +111,21 @@
 	return rise(m.StagePairs[i], total)
 }
 
+// warmingPairs returns the pairs of a route that count in the first stage while the servers
+// of the new version warm up. Without them a version would have to warm up at 1% of the
+// queries, which takes most of a short move. The second stage needs pairs of warm servers.
+func (c *Controller) warmingPairs(m *model.Move, id model.RouteID) uint64 {
+	st, ok := c.moves[m.Name]
+	if !ok {
+		return 0
+	}
+	r, ok := st.routes[id]
+	if !ok || !c.warming(m, r) {
+		return 0
+	}
+	return r.total.Failures.Pairs
+}
+
 func (c *Controller) totalPairs(name string, id model.RouteID) uint64 {
 	st, ok := c.moves[name]
 	if !ok {
