--- a/internal/vtime/server.go
+++ b/internal/vtime/server.go
@@ -15,6 +15,7 @@
 	Sigma     float64       // of its logarithm
 	SlowShare float64       // share of attempts that take ten times as long, 0 to 1
 	FailShare float64       // share of attempts that fail, 0 to 1
+	BusyFail  bool          // attempts fail that start while another one runs
 	Slots     int
 	ColdSlots int
 	WarmAfter int // attempts that end the cold start
@@ -153,7 +154,7 @@
 		snapshot = s.newest
 	}
 	work := s.serviceTime()
-	fails := s.sched.Rand.Float64() < s.Config.FailShare
+	fails := s.sched.Rand.Float64() < s.Config.FailShare || (s.Config.BusyFail && s.running > 1)
 	ended := false
 	finish := func(r model.AttemptResult, counted bool) {
 		if ended {
