Revert "Try: serve on until a restarted VM can have gained a key"

The load bound of backend servers goes before the gap of about 1 s after a restart.

The next try should look first at what a former boot proves when its VM rejoins with a new boot in the same process.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -399,7 +399,4 @@
 	t.leaving = false
 	t.abstains = false
 	t.clearStatements()
-	// Support of the former boot says nothing of when that of this one began.
-	t.supportUntil = longAgo
-	t.supportSince = model.Never
 }
--- a/core/membership/peer.go
+++ b/core/membership/peer.go
@@ -41,7 +41,6 @@
 	// What the peer states, dated by the send times of this VM that it echoes.
 	echo        model.Time
 	echoCurrent model.Time // like echo, by heartbeats that use the roster in use now
-	formerEcho  model.Time // echo when the present boot was first heard
 	states      map[model.VM]*statement
 }
 
@@ -71,7 +70,6 @@
 		formerUntil:  longAgo,
 		echo:         longAgo,
 		echoCurrent:  longAgo,
-		formerEcho:   longAgo,
 		abstained:    longAgo,
 		states:       make(map[model.VM]*statement),
 	}
@@ -96,7 +94,6 @@
 		p.retired = p.retired[1:]
 	}
 	p.boot = boot
-	p.formerEcho = p.echo
 	p.heard = false
 	p.clearStatements()
 }
--- a/core/membership/votes.go
+++ b/core/membership/votes.go
@@ -12,25 +12,6 @@
 	return model.Time(t.cfg.Fence + t.cfg.Fence/driftShare)
 }
 
-// GainDelay is the time for which a majority must have supported a VM before it gains a key.
-// It is longer than StartDelay by Grace and the drift over it. Meanwhile the others go on
-// serving the keys of a VM that has returned or restarted, and can rule out that it holds keys
-// by an old configuration.
-func (t *Tracker) GainDelay() model.Time {
-	return t.StartDelay() + model.Time(t.cfg.Grace+t.cfg.Grace/driftShare)
-}
-
-// GainsNothingUntil returns the time before which a VM cannot have gained any key. Its present
-// support began after the last statement of the boot before it, and after unsupported, the
-// last time at which a majority stated together that it does not support the VM.
-func (t *Tracker) GainsNothingUntil(vm model.VM, unsupported model.Time) model.Time {
-	began := unsupported
-	if p, ok := t.peers[vm]; ok {
-		began = max(began, p.formerEcho)
-	}
-	return began + t.StartDelay() + model.Time(t.cfg.Grace)
-}
-
 // Candidates returns the VMs that may own keys: those of the roster, and during the
 // transition from a roster also those that it alone lists. The slice must not be changed.
 func (t *Tracker) Candidates() []model.VM {
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -13,9 +13,6 @@
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
-// longAgo is earlier than every time that can occur.
-const longAgo = model.Time(-1 << 62)
-
 // Key is one shard key to be owned.
 type Key struct {
 	Key            model.ShardKey
@@ -46,12 +43,9 @@
 	// Per candidate, recomputed by each Update.
 	against []model.Time
 	applied []uint64
-	// unsupported is when a majority last stated together that it does not support a VM.
-	// Statements that no longer count together prove nothing about one moment.
-	unsupported map[model.VM]model.Time
-	lowest      uint64 // lowest of applied
-	own         uint64 // highest object version that the last heartbeat announced
-	support     membership.Support
+	lowest  uint64 // lowest of applied
+	own     uint64 // highest object version that the last heartbeat announced
+	support membership.Support
 }
 
 // New returns a holder that owns nothing.
@@ -60,8 +54,6 @@
 		tracker: tracker,
 		cfg:     tracker.Config(),
 		byKey:   make(map[model.ShardKey]*entry),
-
-		unsupported: make(map[model.VM]model.Time),
 	}
 }
 
@@ -94,7 +86,6 @@
 		if i != h.self {
 			h.against[i] = h.tracker.Against(vm, 0, now)
 			h.applied[i] = h.tracker.Status(vm, now).Applied
-			h.settle(i, vm, now)
 			h.lowest = min(h.lowest, h.applied[i])
 		}
 	}
@@ -104,21 +95,6 @@
 	h.updateAbstain(now)
 }
 
-// settle prolongs the vote against a candidate for as long as it cannot have gained a key.
-func (h *Holder) settle(i int, vm model.VM, now model.Time) {
-	if h.against[i] == model.Never {
-		return
-	}
-	if h.against[i] > now {
-		h.unsupported[vm] = h.against[i] - model.Time(h.cfg.Fence)
-	}
-	unsupported, ok := h.unsupported[vm]
-	if !ok {
-		unsupported = longAgo
-	}
-	h.against[i] = max(h.against[i], h.tracker.GainsNothingUntil(vm, unsupported))
-}
-
 // updateAbstain abstains when nothing is held any more. It first lets the last releases
 // arrive, because a key that a successor takes over by the abstention is not clean.
 func (h *Holder) updateAbstain(now model.Time) {
@@ -171,12 +147,12 @@
 }
 
 // mayGain reports whether this VM may gain keys at all: a majority must have supported it
-// for the gain delay under the current roster.
+// for the start delay under the current roster.
 func (h *Holder) mayGain(now model.Time) bool {
 	if h.leaving || h.support.Since == model.Never {
 		return false
 	}
-	return now >= h.support.Since+h.tracker.GainDelay()
+	return now >= h.support.Since+h.tracker.StartDelay()
 }
 
 // gain takes an idle key if the conditions hold. It leaves the key alone when they hold
@@ -204,12 +180,12 @@
 
 // extraWait is how much longer attempts of the previous owner may run after a takeover
 // without a release. A previous owner that ranked higher stopped at least Grace - Fence ago,
-// or before it abstained; one that ranked lower stopped when the gain delay of this VM was
+// or before it abstained; one that ranked lower stopped when the start delay of this VM was
 // over, and one that ranked by other zones before the conflict ended.
 func (h *Holder) extraWait(e *entry, now model.Time) time.Duration {
 	stopped := min(
 		h.cfg.Grace-h.cfg.Fence,
-		now.Sub(h.support.Since+h.tracker.GainDelay()),
+		now.Sub(h.support.Since+h.tracker.StartDelay()),
 		now.Sub(e.cleared),
 	)
 	for i, vm := range h.vms {
@@ -395,7 +371,7 @@
 type guess struct {
 	owner   model.Owner
 	serves  bool // alive and not abstaining
-	settled bool // and past its gain delay
+	settled bool // and past its start delay
 }
 
 func (h *Holder) guesses(now model.Time) []guess {
@@ -407,12 +383,12 @@
 		s := h.tracker.Status(vm, now)
 		list[i].owner = model.Owner{VM: vm, Boot: s.Boot}
 		list[i].serves = s.Alive && !s.Abstains
-		list[i].settled = list[i].serves && now >= s.Since+h.tracker.GainDelay()
+		list[i].settled = list[i].serves && now >= s.Since+h.tracker.StartDelay()
 	}
 	return list
 }
 
-// owner prefers VMs that have been alive for the gain delay, because a VM that has just
+// owner prefers VMs that have been alive for the start delay, because a VM that has just
 // returned gets the key only after that.
 func (h *Holder) owner(e *entry, guesses []guess, now model.Time) (model.Owner, bool) {
 	if e.leased(now) {
@@ -461,7 +437,7 @@
 // than those known here. Of two VMs with different zones for a key, the one that is ahead
 // respects the other until it has heard that the other has applied the present zones. A VM
 // that is ahead of this one proves nothing, because it may have skipped the revision of the
-// present zones. settle keeps a VM that has just restarted from ending leases by this.
+// present zones.
 func (h *Holder) findConflicts(e *entry, now model.Time) {
 	if e.confirmed == h.others() && h.lowest >= e.Key.Revision {
 		return
