Forget the revisions of VMs that are gone, and send on open streams in one place

Cause: control kept the last configuration version of every VM name it had ever heard, which grows for as long as VMs are replaced under new names. Cancels and replies looked up and used an open stream with the same lines.

The map is pruned when the configuration changes, as it does with every change of the roster; pruning at each heartbeat was ruled out as work on a frequent path. The order of members uses cmp.Compare in place of a switch.

--- a/core/control.go
+++ b/core/control.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -281,6 +282,11 @@
 	c.configView = v
 	keys := ownedKeys(c.config.All(model.ObjectTemplate))
 	c.wantedShards = len(keys)
+	peers := c.members.Peers(now)
+	maps.DeleteFunc(c.revisions, func(vm model.VM, _ uint64) bool {
+		_, known := peers[vm]
+		return !known
+	})
 	c.keys.SetKeys(keys, now)
 }
 
--- a/core/status.go
+++ b/core/status.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/gooseberrylock/gooseberrylock/core/automation"
@@ -82,15 +83,7 @@
 		m.Voter = roster != nil && roster.Has(p.VM)
 		list = append(list, m)
 	}
-	slices.SortFunc(list, func(a, b MemberStatus) int {
-		switch {
-		case a.VM < b.VM:
-			return -1
-		case a.VM > b.VM:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(list, func(a, b MemberStatus) int { return cmp.Compare(a.VM, b.VM) })
 	return list
 }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -191,12 +191,7 @@
 	for i := range c {
 		m.Cancels = append(m.Cancels, cancelToPB(&c[i]))
 	}
-	n.mu.Lock()
-	s := n.traffic[to]
-	n.mu.Unlock()
-	if s != nil {
-		s.put(m)
-	}
+	n.putIfOpen(n.traffic, to, m)
 }
 
 // Replies answers an entry daemon on the stream that it opened. Without one the replies are
@@ -209,8 +204,14 @@
 	for i := range r {
 		m.Replies = append(m.Replies, subReplyToPB(&r[i]))
 	}
+	n.putIfOpen(n.accepted, to, m)
+}
+
+// putIfOpen queues a message on the stream with a peer, if there is one. The maps of streams
+// are never replaced, only their contents change under the lock.
+func (n *Network) putIfOpen(streams map[model.VM]*stream, to model.VM, m *peerpb.TrafficMessage) {
 	n.mu.Lock()
-	s := n.accepted[to]
+	s := streams[to]
 	n.mu.Unlock()
 	if s != nil {
 		s.put(m)
