Serve the users' platform through an entry tier of its own

Cause: the new machines speak opaque requests by host and path over a store-fed directory; the owner-per-shard path knows templates and typed sub-requests only. New: core/dispatch and core/directory (reducers without I/O), entry/ (goroutines), platform/ (settings, object API by ogen, callers, backend servers).

--- a/cmd/gooseberrylockd/main.go
+++ b/cmd/gooseberrylockd/main.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gooseberrylock/gooseberrylock"
+	"github.com/gooseberrylock/gooseberrylock/platform"
 	"github.com/gooseberrylock/gooseberrylock/settings"
 )
 
@@ -31,11 +32,34 @@
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file in JSON with comments (required)")
 	_ = cmd.MarkFlagRequired("settings")
+	cmd.AddCommand(platformCommand())
 	if err := cmd.ExecuteContext(context.Background()); err != nil {
 		os.Exit(1)
 	}
 }
 
+// platformCommand runs an entry VM on the users' platform.
+func platformCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "platform [--settings FILE]",
+		Short: "Run an entry VM on the users' platform",
+		Long: "Runs with the platform's settings file until SIGTERM or SIGINT, which start a graceful\n" +
+			"shutdown within the grace that the file states. SIGHUP reads the file again.",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			if file == "" {
+				return fmt.Errorf("no settings file: set --settings or %s", platform.SettingsVariable)
+			}
+			return platform.Run(file, os.Stdout)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", os.Getenv(platform.SettingsVariable),
+		"the platform's settings file; its default is in "+platform.SettingsVariable)
+	return cmd
+}
+
 func run(ctx context.Context, file string) error {
 	// A signal that arrives while the daemon starts ends it gracefully too.
 	signals := make(chan os.Signal, 2)
--- /dev/null
+++ b/core/directory/apply.go
@@ -0,0 +1,142 @@
+package directory
+
+import (
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+func (s *State) apply(k Kind, changes []Change, now model.Time) {
+	for _, c := range changes {
+		if c.Problem != "" {
+			s.note(Warn, "object cannot be used", Field{"kind", k}, Field{"name", c.Name},
+				Field{"revision", c.Revision}, Field{"cause", c.Problem})
+		}
+		switch k {
+		case KindConfig:
+			s.applyConfig(c, now)
+		case KindReplicas:
+			s.applyReplica(c, now)
+		case KindZonesOut:
+			s.applyZone(c)
+		case KindRollouts:
+			s.applyRollout(c)
+		case KindVMs:
+			s.applyVM(c, now)
+		}
+	}
+}
+
+// applyConfig replaces the configuration by a newer one. A configuration that is removed or
+// cannot be read leaves the last one in force.
+func (s *State) applyConfig(c Change, now model.Time) {
+	cfg, ok := c.Value.(*model.EntryConfig)
+	if !ok {
+		return
+	}
+	if s.config != nil && (cfg.Version <= s.config.Version || cfg.Revision <= s.config.Revision) {
+		return
+	}
+	old := uint64(0)
+	if s.config != nil {
+		old = s.config.Version
+	}
+	s.note(Info, "configuration is in force", Field{"version", cfg.Version}, Field{"before", old},
+		Field{"revision", cfg.Revision}, Field{"routes", len(cfg.Routes)},
+		Field{"last_answer_ago", now.Sub(s.reads[KindConfig].okAt)})
+	s.config = cfg
+	s.changed = true
+}
+
+// applyReplica takes the entry of a backend server. An entry that cannot be read names no
+// server; one of an earlier start than the known one is late and is left out.
+func (s *State) applyReplica(c Change, now model.Time) {
+	old, known := s.replicas[c.Name]
+	r, readable := c.Value.(*model.Replica)
+	if c.Removed || !readable {
+		if known {
+			s.removeReplica(c, old, now)
+		}
+		return
+	}
+	if known && r.Born.Before(old.value.Born) {
+		s.note(Info, "entry of an earlier start of a server left out", Field{"server", c.Name},
+			Field{"revision", c.Revision})
+		return
+	}
+	s.replicas[c.Name] = &entry[model.Replica]{value: *r, revision: c.Revision, seenAt: now}
+	s.changed = true
+	if !known || old.value.Draining != r.Draining || compareBorn(old.value, *r) != 0 {
+		s.note(Info, "server", Field{"server", r.ID}, Field{"set", r.Set}, Field{"address", r.Address},
+			Field{"zone", r.Zone}, Field{"draining", r.Draining}, Field{"revision", c.Revision})
+	}
+}
+
+func (s *State) removeReplica(c Change, old *entry[model.Replica], now model.Time) {
+	if now < s.doubtUntil && !old.value.Draining {
+		old.lapsed = true
+		s.note(Info, "server's entry lapsed while the store was away, kept for now",
+			Field{"server", c.Name}, Field{"until", s.doubtUntil})
+		return
+	}
+	delete(s.replicas, c.Name)
+	s.changed = true
+	s.note(Info, "server is gone", Field{"server", c.Name}, Field{"set", old.value.Set}, Field{"revision", c.Revision})
+}
+
+// endDoubt forgets the servers whose entries did not come back after an outage of the store.
+func (s *State) endDoubt(now model.Time) {
+	if s.doubtUntil == 0 || now < s.doubtUntil {
+		return
+	}
+	s.doubtUntil = 0
+	for _, name := range keysOf(s.replicas) {
+		if s.replicas[name].lapsed {
+			delete(s.replicas, name)
+			s.changed = true
+			s.note(Info, "server did not come back after the outage of the store", Field{"server", name})
+		}
+	}
+}
+
+func (s *State) applyZone(c Change) {
+	if c.Removed == !s.zonesOut[c.Name] {
+		return
+	}
+	if c.Removed {
+		delete(s.zonesOut, c.Name)
+	} else {
+		s.zonesOut[c.Name] = true
+	}
+	s.changed = true
+	s.note(Info, "zone", Field{"zone", c.Name}, Field{"out", !c.Removed}, Field{"revision", c.Revision})
+}
+
+func (s *State) applyRollout(c Change) {
+	r, ok := c.Value.(*model.Rollout)
+	if c.Removed || !ok {
+		if _, known := s.rollouts[c.Name]; known {
+			delete(s.rollouts, c.Name)
+			s.changed = true
+		}
+		return
+	}
+	s.rollouts[c.Name] = *r
+	s.changed = true
+	s.note(Info, "rollout", Field{"set", r.Set}, Field{"target", r.Target}, Field{"state", r.State},
+		Field{"revision", c.Revision})
+}
+
+func (s *State) applyVM(c Change, now model.Time) {
+	vm, ok := c.Value.(*model.EntryVM)
+	if c.Removed || !ok {
+		if _, known := s.vms[c.Name]; known {
+			delete(s.vms, c.Name)
+			s.changed = true
+		}
+		return
+	}
+	if old, known := s.vms[c.Name]; known && old.revision == c.Revision {
+		return
+	}
+	s.vms[c.Name] = &entry[model.EntryVM]{value: *vm, revision: c.Revision, seenAt: now}
+	s.changed = true
+}
--- /dev/null
+++ b/core/directory/event.go
@@ -0,0 +1,134 @@
+// Package directory is the control state of an entry VM: what it believes of the
+// configuration, the backend servers, the zones that are out and the other VMs, how old each
+// belief is, and when to read the store again. It is a reducer without I/O.
+package directory
+
+import (
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// Kind is a kind of objects in the store.
+type Kind uint8
+
+// The kinds that a VM reads.
+const (
+	KindConfig Kind = iota
+	KindReplicas
+	KindZonesOut
+	KindRollouts
+	KindVMs
+	kinds
+)
+
+var kindNames = [kinds]string{"config", "replicas", "zones_out", "rollouts", "vms"}
+
+// String implements fmt.Stringer.
+func (k Kind) String() string { return kindNames[k] }
+
+// Kinds lists all kinds.
+func Kinds() []Kind { return []Kind{KindConfig, KindReplicas, KindZonesOut, KindRollouts, KindVMs} }
+
+// Value is what an object holds: *model.EntryConfig, *model.Replica, *model.Rollout,
+// *model.EntryVM, or nil for a zone that is out, whose name says all.
+type Value any
+
+// Change is one object as it is now.
+type Change struct {
+	Name     string
+	Revision uint64
+	Removed  bool
+	Value    Value
+	// Problem says why the object cannot be read; Value is nil then.
+	Problem string
+}
+
+// Event is an input of the reducer.
+type Event interface{ event() }
+
+// Events of the reducer.
+type (
+	// Started begins the work.
+	Started struct{}
+	// Listed brings all objects of a kind.
+	Listed struct {
+		Kind     Kind
+		Revision uint64 // of the store, at which the list is complete
+		Changes  []Change
+	}
+	// Changed brings the changes since the revision of the last read; there may be none.
+	Changed struct {
+		Kind     Kind
+		Revision uint64
+		Changes  []Change
+	}
+	// HistoryGone reports that the store no longer knows the changes since the last read.
+	HistoryGone struct{ Kind Kind }
+	// ReadFailed reports a read without an answer.
+	ReadFailed struct {
+		Kind  Kind
+		Cause string
+	}
+	// Registered reports how the registration of this VM ended.
+	Registered struct{ Cause string } // "" after success
+	// Woken reports that the time of the last Wake has come.
+	Woken struct{}
+)
+
+func (Started) event()     {}
+func (Listed) event()      {}
+func (Changed) event()     {}
+func (HistoryGone) event() {}
+func (ReadFailed) event()  {}
+func (Registered) event()  {}
+func (Woken) event()       {}
+
+// Effect is an output of the reducer.
+type Effect interface{ effect() }
+
+// Effects of the reducer.
+type (
+	// List reads all objects of a kind.
+	List struct{ Kind Kind }
+	// Watch waits for a change of a kind since a revision, for Wait at most.
+	Watch struct {
+		Kind  Kind
+		Since uint64
+		Wait  time.Duration
+	}
+	// Register writes the entry of this VM.
+	Register struct{}
+	// Publish hands the beliefs to the traffic workers.
+	Publish struct{ View *model.EntryView }
+	// Wake asks for Woken at a time. A later Wake replaces it.
+	Wake struct{ At model.Time }
+	// Note is one line of the log.
+	Note struct {
+		Level   Level
+		Message string
+		Fields  []Field
+	}
+)
+
+func (List) effect()     {}
+func (Watch) effect()    {}
+func (Register) effect() {}
+func (Publish) effect()  {}
+func (Wake) effect()     {}
+func (Note) effect()     {}
+
+// Level is the level of a log line.
+type Level uint8
+
+// The levels of a log line.
+const (
+	Info Level = iota
+	Warn
+)
+
+// Field is a key with a value in a log line.
+type Field struct {
+	Key   string
+	Value any
+}
--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"container/heap"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// Config are the settings of the reducer.
+type Config struct {
+	Self   model.VM
+	Seed   uint64
+	Budget BudgetConfig
+}
+
+// Validate reports the first setting that is out of its range.
+func (c Config) Validate() error {
+	switch {
+	case c.Self == "":
+		return errors.New("dispatch: the name of the VM is empty")
+	case c.Budget.Ratio < 0 || c.Budget.Burst < 0:
+		return errors.New("dispatch: the retry budget is negative")
+	case c.Budget.Window < budgetSlot:
+		return errors.New("dispatch: the window of the retry budget is too short")
+	}
+	return nil
+}
+
+// State is the traffic state of an entry VM.
+type State struct {
+	cfg      Config
+	rng      *rand.Rand
+	view     *model.EntryView
+	routes   *table
+	servers  map[serverKey]*server
+	budgets  map[model.ReplicaSet]*budget
+	latency  map[string]*latencies // by the name of the route
+	queries  map[model.QueryID]*query
+	attempts map[model.AttemptID]*attempt
+	next     model.AttemptID
+	timers   timers
+	wakeAt   model.Time // last Wake asked for, 0 for none
+	stopEnd  model.Time // 0 unless the VM is stopping
+	effects  []Effect
+}
+
+// New returns a state without a view: it refuses all requests as not run.
+func New(cfg Config) *State {
+	return &State{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		view:     &model.EntryView{Shares: 1},
+		routes:   newTable(nil),
+		servers:  make(map[serverKey]*server),
+		budgets:  make(map[model.ReplicaSet]*budget),
+		latency:  make(map[string]*latencies),
+		queries:  make(map[model.QueryID]*query),
+		attempts: make(map[model.AttemptID]*attempt),
+	}
+}
+
+// Reduce applies one event and returns the effects to carry out, in order. The slice is valid
+// until the next call.
+func (s *State) Reduce(ev Event, now model.Time) []Effect {
+	s.effects = s.effects[:0]
+	switch ev := ev.(type) {
+	case RequestReceived:
+		s.received(ev, now)
+	case CallerGone:
+		s.callerGone(ev.Query)
+	case AttemptEnded:
+		s.attemptEnded(ev, now)
+	case ViewPublished:
+		s.publish(ev.View, now)
+	case StopStarted:
+		s.stopEnd = ev.End
+	case Woken:
+		s.wakeAt = 0
+	}
+	s.runTimers(now)
+	s.askWake()
+	return s.effects
+}
+
+// Running returns the number of requests that are not answered yet.
+func (s *State) Running() int {
+	n := 0
+	for _, q := range s.queries {
+		if !q.ended {
+			n++
+		}
+	}
+	return n
+}
+
+// RetryRoom returns how many repeats a replica set has left at this VM, and whether it is known.
+func (s *State) RetryRoom(set model.ReplicaSet, now model.Time) (float64, bool) {
+	b, ok := s.budgets[set]
+	if !ok {
+		return 0, false
+	}
+	return b.room(s.cfg.Budget, now, s.view.Shares), true
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+func (s *State) count(c Counter) { s.emit(Count{Counter: c}) }
+
+func (s *State) note(level Level, message string, q *query, fields ...Field) {
+	s.emit(Note{Level: level, Message: message, Query: q.callerID, Fields: fields})
+}
+
+// publish replaces the view. What was seen of servers that are gone is forgotten once no
+// attempt runs on them.
+func (s *State) publish(view *model.EntryView, _ model.Time) {
+	s.view = view
+	s.routes = newTable(view.Config)
+	known := make(map[serverKey]bool)
+	for _, replicas := range view.Replicas {
+		for i := range replicas {
+			known[keyOf(&replicas[i])] = true
+		}
+	}
+	for k, srv := range s.servers {
+		if !known[k] && len(srv.running) == 0 {
+			delete(s.servers, k)
+		}
+	}
+	for set := range s.budgets {
+		if view.Config != nil && !s.routes.uses(set) {
+			b := s.budgets[set]
+			if b.total == (budgetCount{}) {
+				delete(s.budgets, set)
+			}
+		}
+	}
+}
+
+func (s *State) serverOf(r *model.Replica) *server {
+	k := keyOf(r)
+	srv, ok := s.servers[k]
+	if !ok {
+		srv = newServer(s.cfg.Self, r.ID)
+		s.servers[k] = srv
+	}
+	return srv
+}
+
+func (s *State) budgetOf(set model.ReplicaSet) *budget {
+	b, ok := s.budgets[set]
+	if !ok {
+		b = newBudget(s.cfg.Budget)
+		s.budgets[set] = b
+	}
+	return b
+}
+
+func (s *State) latencyOf(route *model.EntryRoute, now model.Time) *latencies {
+	l, ok := s.latency[route.Name]
+	if !ok {
+		l = newLatencies(route.Target, now)
+		s.latency[route.Name] = l
+	}
+	return l
+}
+
+func (s *State) runTimers(now model.Time) {
+	for len(s.timers) > 0 && s.timers[0].wakeAt <= now {
+		q := s.timers[0]
+		q.wakeAt = noWake
+		heap.Fix(&s.timers, 0)
+		s.wake(q, now)
+	}
+}
+
+func (s *State) askWake() {
+	if len(s.timers) == 0 || s.timers[0].wakeAt == noWake {
+		return
+	}
+	if at := s.timers[0].wakeAt; s.wakeAt == 0 || at < s.wakeAt {
+		s.wakeAt = at
+		s.emit(Wake{At: at})
+	}
+}
+
+// setWake schedules the next look at a query.
+func (s *State) setWake(q *query, at model.Time) {
+	if at == q.wakeAt {
+		return
+	}
+	q.wakeAt = at
+	heap.Fix(&s.timers, q.heapIndex)
+}
+
+// timers orders queries by the time of their next look.
+type timers []*query
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].wakeAt < t[j].wakeAt }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].heapIndex, t[j].heapIndex = i, j
+}
+
+func (t *timers) Push(x any) {
+	q := x.(*query)
+	q.heapIndex = len(*t)
+	*t = append(*t, q)
+}
+
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	q := (*t)[last]
+	*t = (*t)[:last]
+	return q
+}
+
+const noWake = model.Time(1<<63 - 1)
+
+func until(t model.Time, now model.Time) time.Duration { return max(t.Sub(now), 0) }
--- /dev/null
+++ b/core/dispatch/query.go
@@ -0,0 +1,418 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+const (
+	// stopShare is the part of a route's target after which a gathered answer goes out with
+	// the parts that are in, if they suffice. The rest is for the way back.
+	stopShare = 0.9
+	// answerMargin is the time before a deadline at which the final answer is given, so that
+	// it reaches the caller in time.
+	answerMargin = 15 * time.Millisecond
+	// lingerFor is how long attempts may go on after their query has been answered, so that
+	// the server's work and the connection are not lost.
+	lingerFor = time.Second
+	// minHedge keeps hedges from chasing the noise of very fast routes.
+	minHedge = 4 * time.Millisecond
+	// defaultPatience stands in where neither the caller nor the route states a deadline.
+	defaultPatience = 10 * time.Second
+	// retryAfter is when a caller of a request that was not run should come back.
+	retryAfter = 50 * time.Millisecond
+)
+
+// query is one request of a caller.
+type query struct {
+	id       model.QueryID
+	callerID string
+	route    *route
+	latency  *latencies
+	received model.Time
+	stopAt   model.Time // a gathered answer goes out with what is in
+	deadline model.Time // time of the final answer
+	patience model.Time // end of the caller's patience, for the servers
+
+	shards   []shard
+	answered int  // shards that are in
+	open     int  // shards that are neither in nor given up
+	mayRun   bool // a server may have run the request
+	hedged   bool
+	ended    bool
+
+	wakeAt    model.Time
+	heapIndex int
+}
+
+// shard is the state of one replica set of a query. A route that reads one server has one.
+type shard struct {
+	set      model.ReplicaSet
+	tried    []model.BackendServerID // servers that the request reached
+	avoid    []model.BackendServerID // servers that could not be reached
+	running  []*attempt
+	hedgeAt  model.Time // noWake if there will be no hedge
+	done     bool       // in, or given up
+	part     *Reply
+	lastFail *Reply // last failure that a server stated
+	cause    string // of the last attempt without a result
+}
+
+// attempt is one request sent to one server.
+type attempt struct {
+	id     model.AttemptID
+	query  *query
+	shard  int
+	server model.Replica
+	stats  *server
+	sent   model.Time
+	hedge  bool
+}
+
+func (s *State) received(ev RequestReceived, now model.Time) {
+	s.count(CountRequests)
+	q := &query{id: ev.Query, callerID: ev.CallerID, received: now, wakeAt: noWake}
+	if s.view.Config == nil {
+		s.refuse(q, CodeNotRun, "no configuration is known yet", now)
+		return
+	}
+	r := s.routes.find(ev.Host, ev.Path)
+	if r == nil {
+		s.refuse(q, CodeNoRoute, "no route takes this host and path", now)
+		return
+	}
+	q.route = r
+	q.latency = s.latencyOf(r.EntryRoute, now)
+	s.setTimes(q, ev.Patience)
+	if s.stopEnd != 0 && now >= s.stopEnd {
+		s.refuse(q, CodeNotRun, "the VM is stopping", now)
+		return
+	}
+	s.setShards(q)
+	s.queries[q.id] = q
+	heap.Push(&s.timers, q)
+	for i := range q.shards {
+		s.budgetOf(q.shards[i].set).request(now)
+		s.start(q, i, now)
+	}
+	s.settle(q, now)
+}
+
+func (s *State) setTimes(q *query, patience time.Duration) {
+	if patience <= 0 {
+		patience = defaultPatience
+		if q.route.Timeout > 0 {
+			patience = q.route.Timeout
+		}
+	}
+	q.patience = q.received.Add(patience)
+	if t := q.route.Timeout; t > 0 {
+		patience = min(patience, t)
+	}
+	q.deadline = q.received.Add(patience - min(answerMargin, patience/10))
+	q.stopAt = q.deadline
+	if t := q.route.Target; t > 0 && q.route.Gathers() {
+		q.stopAt = min(q.deadline, q.received.Add(time.Duration(stopShare*float64(t))-answerMargin))
+	}
+}
+
+func (s *State) setShards(q *query) {
+	sets := q.route.Shards
+	if !q.route.Gathers() {
+		sets = []model.ReplicaSet{q.route.choose()}
+	}
+	q.shards = make([]shard, len(sets))
+	for i, set := range sets {
+		q.shards[i] = shard{set: set, hedgeAt: noWake}
+	}
+	q.open = len(sets)
+}
+
+// start sends the first attempt of a shard, or gives the shard up if no server is known.
+func (s *State) start(q *query, i int, now model.Time) {
+	sh := &q.shards[i]
+	r := s.pick(q, sh, now)
+	if r == nil {
+		sh.cause = "no server is known"
+		s.giveUp(q, sh)
+		return
+	}
+	s.send(q, i, r, false, now)
+}
+
+func (s *State) giveUp(q *query, sh *shard) {
+	if !sh.done {
+		sh.done = true
+		q.open--
+	}
+}
+
+func (s *State) send(q *query, i int, r *model.Replica, hedge bool, now model.Time) {
+	sh := &q.shards[i]
+	s.next++
+	a := &attempt{id: s.next, query: q, shard: i, server: *r, stats: s.serverOf(r), sent: now, hedge: hedge}
+	a.stats.running[a.id] = now
+	s.attempts[a.id] = a
+	sh.running = append(sh.running, a)
+	sh.hedgeAt = noWake
+	if q.route.Idempotent && len(sh.tried)+len(sh.running) < q.route.MaxAttempts {
+		sh.hedgeAt = now.Add(max(q.latency.high, minHedge))
+	}
+	s.count(CountAttempts)
+	s.emit(Send{Attempt: a.id, Query: q.id, Server: *r, Deadline: q.patience})
+}
+
+// attemptEnded takes the end of an attempt into what is known of its server and its query.
+func (s *State) attemptEnded(ev AttemptEnded, now model.Time) {
+	a, ok := s.attempts[ev.Attempt]
+	if !ok {
+		return
+	}
+	delete(s.attempts, a.id)
+	delete(a.stats.running, a.id)
+	s.learn(a, ev, now)
+	q := a.query
+	sh := &q.shards[a.shard]
+	sh.removeRunning(a)
+	if ev.Outcome != NotSent {
+		sh.tried = append(sh.tried, a.server.ID)
+	}
+	if q.ended {
+		s.ended(q, ev)
+		return
+	}
+	if ev.Outcome == Answered || ev.Outcome == Unclear {
+		q.mayRun = true
+	}
+	if ev.Outcome == Answered && ev.Reply.success() {
+		s.partIn(q, sh, ev.Reply)
+		s.settle(q, now)
+		return
+	}
+	s.attemptFailed(q, a, ev, now)
+	s.settle(q, now)
+}
+
+// learn updates what is known of a server.
+func (s *State) learn(a *attempt, ev AttemptEnded, now model.Time) {
+	took := now.Sub(a.sent)
+	median := max(float64(a.query.latency.median), float64(latencyUnit))
+	switch ev.Outcome {
+	case Answered:
+		s.count(CountAnswered)
+		a.stats.answeredAt = now
+		a.stats.observeFailure(!ev.Reply.success(), now)
+		if ev.Reply.success() {
+			a.stats.observe(float64(took)/median, now)
+			a.query.latency.record(took, now)
+			s.emit(Timed{Route: a.query.route.Name, Attempt: true, Duration: took})
+		}
+	case NotSent:
+		s.count(CountAttemptNotSent)
+		a.stats.observeFailure(true, now)
+		a.stats.avoidUntil = now.Add(lostFor)
+	case NotRun:
+		s.count(CountAttemptNotRun)
+		a.stats.answeredAt = now
+		a.stats.observeFailure(true, now)
+		a.stats.avoidUntil = now.Add(refusedFor)
+	case Unclear:
+		s.count(CountAttemptUnclear)
+		a.stats.observeFailure(true, now)
+	case Aborted:
+		a.stats.observeWait(float64(took)/median, now)
+	}
+}
+
+func (sh *shard) removeRunning(a *attempt) {
+	for i, r := range sh.running {
+		if r == a {
+			sh.running = append(sh.running[:i], sh.running[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *State) partIn(q *query, sh *shard, reply *Reply) {
+	if sh.done {
+		return
+	}
+	sh.done = true
+	sh.part = reply
+	q.answered++
+	q.open--
+}
+
+// attemptFailed repeats an attempt elsewhere if that is allowed and pays.
+func (s *State) attemptFailed(q *query, a *attempt, ev AttemptEnded, now model.Time) {
+	sh := &q.shards[a.shard]
+	sh.cause = ev.Outcome.String()
+	if ev.Cause != "" {
+		sh.cause += ": " + ev.Cause
+	}
+	if ev.Outcome == Answered {
+		sh.lastFail = ev.Reply
+		sh.cause = "server failed"
+	}
+	if ev.Outcome == NotSent {
+		sh.avoid = append(sh.avoid, a.server.ID)
+	}
+	s.note(Info, "attempt failed", q, Field{"set", sh.set}, Field{"server", a.server.ID},
+		Field{"cause", sh.cause}, Field{"after", now.Sub(a.sent)})
+	if sh.done {
+		return
+	}
+	if s.repeat(q, a, ev.Outcome, now) || len(sh.running) > 0 {
+		return
+	}
+	s.giveUp(q, sh)
+}
+
+// repeat sends a failed attempt to another server. A request that may have run is repeated
+// only if it is idempotent; one that reached no server is repeated without cost.
+func (s *State) repeat(q *query, a *attempt, outcome Outcome, now model.Time) bool {
+	sh := &q.shards[a.shard]
+	if outcome != NotSent && outcome != NotRun && !q.route.Idempotent {
+		return false
+	}
+	if len(sh.running) > 0 || now >= q.deadline {
+		return false
+	}
+	if outcome == NotSent && len(sh.avoid) > maxUnreachable {
+		return false
+	}
+	if len(sh.tried) >= q.route.MaxAttempts && outcome != NotSent {
+		return false
+	}
+	r := s.pick(q, sh, now)
+	if r == nil {
+		return false
+	}
+	if len(sh.tried) > 0 && !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.view.Shares, false) {
+		s.count(CountBudgetEmpty)
+		sh.cause += "; retry budget is used up"
+		s.note(Info, "no retry", q, Field{"set", sh.set}, Field{"cause", "retry budget is used up"},
+			Field{"shares", s.view.Shares})
+		return false
+	}
+	if len(sh.tried) > 0 {
+		s.count(CountRetries)
+	}
+	s.send(q, a.shard, r, false, now)
+	return true
+}
+
+// maxUnreachable bounds how many servers are tried that cannot be reached.
+const maxUnreachable = 3
+
+// callerGone ends a query whose caller left, and its attempts with it.
+func (s *State) callerGone(id model.QueryID) {
+	q, ok := s.queries[id]
+	if !ok || q.ended {
+		return
+	}
+	s.count(CountCallerGone)
+	s.note(Debug, "caller left", q)
+	s.endQuery(q, q.received)
+	s.abortAll(q)
+}
+
+func (s *State) abortAll(q *query) {
+	for i := range q.shards {
+		for _, a := range q.shards[i].running {
+			s.emit(Abort{Attempt: a.id})
+		}
+	}
+}
+
+// wake looks at a query whose time has come.
+func (s *State) wake(q *query, now model.Time) {
+	if q.ended {
+		s.abortAll(q)
+		s.drop(q)
+		return
+	}
+	for i := range q.shards {
+		if q.shards[i].hedgeAt <= now && !q.shards[i].done {
+			s.hedge(q, i, now)
+		}
+	}
+	s.settle(q, now)
+}
+
+// hedge sends a second attempt of a shard if another server is likely to answer sooner than
+// the one that has been waited for.
+func (s *State) hedge(q *query, i int, now model.Time) {
+	sh := &q.shards[i]
+	sh.hedgeAt = noWake
+	if now >= q.stopAt {
+		return
+	}
+	r := s.pick(q, sh, now)
+	if r == nil {
+		return
+	}
+	srv := s.serverOf(r)
+	wait := srv.expectedWait(r, q.latency, now)
+	if now.Add(wait) > q.deadline || wait > maxHedgeWait*q.latency.high {
+		return
+	}
+	for _, a := range sh.running {
+		a.stats.observeWait(float64(now.Sub(a.sent))/max(float64(q.latency.median), float64(latencyUnit)), now)
+	}
+	if !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.view.Shares, true) {
+		s.count(CountBudgetEmpty)
+		return
+	}
+	q.hedged = true
+	s.count(CountHedges)
+	s.send(q, i, r, true, now)
+}
+
+// maxHedgeWait is the expected wait, in 95th percentiles of the route, above which a server
+// gets no hedge.
+const maxHedgeWait = 3
+
+// pick returns the server that is expected to answer a shard first, among those that the
+// request has not been sent to, or nil.
+func (s *State) pick(q *query, sh *shard, now model.Time) *model.Replica {
+	replicas := s.view.Replicas[sh.set]
+	var best *model.Replica
+	var bestWait time.Duration
+	start := 0
+	if len(replicas) > 1 {
+		start = s.rng.IntN(len(replicas))
+	}
+	for n := range replicas {
+		r := &replicas[(start+n)%len(replicas)]
+		if sh.used(r.ID) {
+			continue
+		}
+		wait := s.serverOf(r).expectedWait(r, q.latency, now)
+		if best == nil || wait < bestWait {
+			best, bestWait = r, wait
+		}
+	}
+	return best
+}
+
+func (sh *shard) used(id model.BackendServerID) bool {
+	for _, t := range sh.tried {
+		if t == id {
+			return true
+		}
+	}
+	for _, t := range sh.avoid {
+		if t == id {
+			return true
+		}
+	}
+	for _, a := range sh.running {
+		if a.server.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/directory"
+	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
+)
+
+// runControl feeds events to the control reducer until ctx ends.
+func (t *Tier) runControl(ctx context.Context) {
+	state := directory.New(t.cfg.Directory)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	next := directory.Event(directory.Started{})
+	for {
+		for _, e := range state.Reduce(next, t.now()) {
+			t.performControl(ctx, e, timer)
+		}
+		if state.Ready() {
+			t.becomeReady()
+		}
+		select {
+		case next = <-t.reads:
+		case <-timer.C:
+			next = directory.Woken{}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// becomeReady makes the VM ready once; a stop ends it for good.
+func (t *Tier) becomeReady() {
+	if t.readyOnce.CompareAndSwap(false, true) {
+		t.ready.Store(true)
+		t.log.Info().Dur("after", time.Since(t.start)).Msg("ready for callers")
+	}
+}
+
+func (t *Tier) performControl(ctx context.Context, e directory.Effect, timer *time.Timer) {
+	switch e := e.(type) {
+	case directory.List:
+		go t.list(ctx, e)
+	case directory.Watch:
+		go t.watch(ctx, e)
+	case directory.Register:
+		go t.register(ctx)
+	case directory.Publish:
+		t.view.Store(e.View)
+		t.meters.view(e.View)
+		select {
+		case t.inbox <- dispatch.ViewPublished{View: e.View}:
+		case <-ctx.Done():
+		}
+	case directory.Wake:
+		timer.Reset(max(e.At.Sub(t.now()), 0))
+	case directory.Note:
+		t.log.directory(e)
+	}
+}
+
+func (t *Tier) read(ctx context.Context, ev directory.Event) {
+	select {
+	case t.reads <- ev:
+	case <-ctx.Done():
+	}
+}
+
+func (t *Tier) list(ctx context.Context, e directory.List) {
+	readCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	t.meters.storeCalls.Inc(1)
+	ev, err := t.catalog.List(readCtx, e.Kind)
+	if err != nil {
+		t.read(ctx, directory.ReadFailed{Kind: e.Kind, Cause: err.Error()})
+		return
+	}
+	t.read(ctx, ev)
+}
+
+func (t *Tier) watch(ctx context.Context, e directory.Watch) {
+	readCtx, cancel := context.WithTimeout(ctx, e.Wait+t.cfg.ReadSlack)
+	defer cancel()
+	t.meters.storeCalls.Inc(1)
+	ev, err := t.catalog.Watch(readCtx, e.Kind, e.Since, e.Wait)
+	switch {
+	case errors.Is(err, ErrHistoryGone):
+		t.read(ctx, directory.HistoryGone{Kind: e.Kind})
+	case err != nil:
+		t.read(ctx, directory.ReadFailed{Kind: e.Kind, Cause: err.Error()})
+	default:
+		t.read(ctx, ev)
+	}
+}
+
+func (t *Tier) register(ctx context.Context) {
+	writeCtx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	t.meters.storeCalls.Inc(1)
+	ev := directory.Registered{}
+	if err := t.catalog.Register(writeCtx, t.cfg.VM); err != nil {
+		ev.Cause = err.Error()
+	}
+	t.read(ctx, ev)
+}
--- /dev/null
+++ b/entry/traffic.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// traffic carries out the effects of the traffic reducer. Only its goroutine uses it.
+type traffic struct {
+	t       *Tier
+	ctx     context.Context
+	state   *dispatch.State
+	cancels map[model.AttemptID]context.CancelFunc
+	timer   *time.Timer
+}
+
+// runTraffic feeds events to the traffic reducer until ctx ends.
+func (t *Tier) runTraffic(ctx context.Context) {
+	tr := &traffic{
+		t:       t,
+		ctx:     ctx,
+		state:   dispatch.New(t.cfg.dispatchConfig()),
+		cancels: make(map[model.AttemptID]context.CancelFunc),
+		timer:   time.NewTimer(time.Hour),
+	}
+	defer tr.timer.Stop()
+	for {
+		select {
+		case ev := <-t.inbox:
+			tr.reduce(ev)
+		case <-tr.timer.C:
+			tr.reduce(dispatch.Woken{})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (tr *traffic) reduce(ev dispatch.Event) {
+	if end, ok := ev.(dispatch.AttemptEnded); ok {
+		if cancel, ok := tr.cancels[end.Attempt]; ok {
+			cancel()
+			delete(tr.cancels, end.Attempt)
+		}
+	}
+	for _, e := range tr.state.Reduce(ev, tr.t.now()) {
+		tr.perform(e)
+	}
+}
+
+func (tr *traffic) perform(e dispatch.Effect) {
+	switch e := e.(type) {
+	case dispatch.Send:
+		tr.send(e)
+	case dispatch.Abort:
+		if cancel, ok := tr.cancels[e.Attempt]; ok {
+			cancel()
+		}
+	case dispatch.PassReply:
+		tr.answer(e.Query, Answer{Reply: e.Reply})
+	case dispatch.Gathered:
+		tr.answer(e.Query, Answer{Gathered: &e})
+	case dispatch.Refuse:
+		tr.answer(e.Query, Answer{Refusal: &e})
+	case dispatch.Wake:
+		tr.timer.Reset(max(e.At.Sub(tr.t.now()), 0))
+	case dispatch.Note:
+		tr.t.log.dispatch(e)
+	case dispatch.Count:
+		tr.t.meters.count(e.Counter)
+	case dispatch.Timed:
+		tr.t.meters.timed(e)
+	}
+}
+
+func (tr *traffic) answer(id model.QueryID, a Answer) {
+	if p, ok := tr.t.lookup(id); ok {
+		p.answer <- a
+	}
+}
+
+// send starts an attempt in a goroutine of its own.
+func (tr *traffic) send(e dispatch.Send) {
+	p, ok := tr.t.lookup(e.Query)
+	if !ok {
+		// The caller has left; its CallerGone waits in the inbox.
+		go tr.t.ended(tr.ctx, dispatch.AttemptEnded{Attempt: e.Attempt, Outcome: dispatch.NotSent, Cause: "the caller left"})
+		return
+	}
+	ctx, cancel := context.WithCancel(tr.ctx)
+	tr.cancels[e.Attempt] = cancel
+	go tr.t.attempt(ctx, tr.ctx, e, p.req)
+}
+
+// attempt runs one attempt and reports its end.
+func (t *Tier) attempt(ctx, runCtx context.Context, e dispatch.Send, r *Request) {
+	left := e.Deadline.Sub(t.now())
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	outcome, reply, cause := t.backend.Send(ctx, e.Server, r, left)
+	if context.Cause(ctx) == context.Canceled && outcome != dispatch.Answered {
+		outcome = dispatch.Aborted
+	}
+	t.ended(runCtx, dispatch.AttemptEnded{Attempt: e.Attempt, Outcome: outcome, Reply: reply, Cause: cause})
+}
+
+func (t *Tier) ended(ctx context.Context, ev dispatch.AttemptEnded) {
+	select {
+	case t.inbox <- ev:
+	case <-ctx.Done():
+	}
+}
--- a/logging.go
+++ b/logging.go
@@ -2,13 +2,12 @@
 
 import (
 	"os"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
-	"golang.org/x/time/rate"
 
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/internal/loglimit"
 	"github.com/gooseberrylock/gooseberrylock/settings"
 )
 
@@ -22,8 +21,7 @@
 // logger writes one event a line and limits the rate of each message.
 type logger struct {
 	*log.Logger
-	mu       sync.Mutex
-	limiters map[string]*rate.Limiter
+	limiter *loglimit.Limiter
 }
 
 func newLogger(base *log.Logger, s settings.Settings) *logger {
@@ -36,18 +34,7 @@
 	}
 	l := *base
 	l.Context = log.NewContext(nil).Str("vm", string(s.VM)).Value()
-	return &logger{Logger: &l, limiters: make(map[string]*rate.Limiter)}
-}
-
-func (l *logger) allow(message string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	lim, ok := l.limiters[message]
-	if !ok {
-		lim = rate.NewLimiter(logRate, logBurst)
-		l.limiters[message] = lim
-	}
-	return lim.Allow()
+	return &logger{Logger: &l, limiter: loglimit.New(logRate, logBurst)}
 }
 
 var logLevels = map[effect.Level]log.Level{
@@ -59,10 +46,14 @@
 
 // effect writes a log line of the reducer.
 func (l *logger) effect(e effect.Log) {
-	if !l.allow(e.Message) {
+	ok, omitted := l.limiter.Allow(e.Message)
+	if !ok {
 		return
 	}
 	entry := l.WithLevel(logLevels[e.Level]).Str("step", e.Step)
+	if omitted > 0 {
+		entry = entry.Int("omitted", omitted)
+	}
 	if e.Peer != "" {
 		entry = entry.Str("peer", e.Peer)
 	}
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Regenerates the code under api/ and peer/peerpb/. Needs protoc; the other generators
+# Regenerates the code under api/, platform/objectsapi/ and peer/peerpb/. Needs protoc; the other generators
 # are tools of go.mod.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -10,5 +10,7 @@
 for api in caller operator backend store; do
   "$bin/ogen" --loglevel error --target "api/$api" --package "$api" --clean "api/$api.yaml"
 done
+"$bin/ogen" --config platform/ogen.yml --loglevel error --target platform/objectsapi --package objectsapi \
+  --clean platform/objects.yaml
 PATH="$bin:$PATH" protoc --go_out=. --go_opt=paths=source_relative \
   --go-drpc_out=. --go-drpc_opt=paths=source_relative peer/peerpb/peer.proto
