Let three VMs read the store for all, and relay what they read

Each VM now follows two of the readers (widest links first) over drpc and reads the store itself only when their word is older than a watch may wait.

--- a/core/directory/apply.go
+++ b/core/directory/apply.go
@@ -10,6 +10,7 @@
 			s.note(Warn, "object cannot be used", Field{"kind", k}, Field{"name", c.Name},
 				Field{"revision", c.Revision}, Field{"cause", c.Problem})
 		}
+		s.keep(k, c)
 		switch k {
 		case KindConfig:
 			s.applyConfig(c, now)
@@ -25,6 +26,15 @@
 	}
 }
 
+// keep remembers an object as the store has it, for other VMs.
+func (s *State) keep(k Kind, c Change) {
+	if c.Removed {
+		delete(s.objects[k], c.Name)
+		return
+	}
+	s.objects[k][c.Name] = c
+}
+
 // applyConfig replaces the configuration by a newer one. A configuration that is removed or
 // cannot be read leaves the last one in force.
 func (s *State) applyConfig(c Change, now model.Time) {
@@ -62,15 +72,15 @@
 			Field{"revision", c.Revision})
 		return
 	}
-	s.replicas[c.Name] = &entry[model.Replica]{value: *r, revision: c.Revision, seenAt: now}
+	s.replicas[c.Name] = &replica{value: *r}
 	s.changed = true
-	if !known || old.value.Draining != r.Draining || compareBorn(old.value, *r) != 0 {
+	if !known || old.value.Draining != r.Draining || !old.value.Born.Equal(r.Born) {
 		s.note(Info, "server", Field{"server", r.ID}, Field{"set", r.Set}, Field{"address", r.Address},
 			Field{"zone", r.Zone}, Field{"draining", r.Draining}, Field{"revision", c.Revision})
 	}
 }
 
-func (s *State) removeReplica(c Change, old *entry[model.Replica], now model.Time) {
+func (s *State) removeReplica(c Change, old *replica, now model.Time) {
 	if now < s.doubtUntil && !old.value.Draining {
 		old.lapsed = true
 		s.note(Info, "server's entry lapsed while the store was away, kept for now",
@@ -137,6 +147,6 @@
 	if old, known := s.vms[c.Name]; known && old.revision == c.Revision {
 		return
 	}
-	s.vms[c.Name] = &entry[model.EntryVM]{value: *vm, revision: c.Revision, seenAt: now}
+	s.vms[c.Name] = &knownVM{value: *vm, revision: c.Revision, seenAt: now}
 	s.changed = true
 }
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -24,8 +23,27 @@
 	RegisterInterval time.Duration
 	// VMTimeout is how long a VM counts that does not register again.
 	VMTimeout time.Duration
-	// LapseAfter is the length of an outage of the store from which entries of live servers
-	// may have lapsed, and LapseGrace is the time within which these are back.
+	// Readers is the number of VMs that read the store for all, and Upstreams how many of
+	// them each VM follows.
+	Readers   int
+	Upstreams int
+	// FollowGrace is how long after its start a VM waits for another one's answer before it
+	// reads the store itself.
+	FollowGrace time.Duration
+	// ReaderGrace is how long after its start a VM learns which VMs there are before it may
+	// become a reader.
+	ReaderGrace time.Duration
+	// FreshFor is how much longer than a watch waits the last confirmation of a kind may be
+	// ago before a VM reads the store itself.
+	FreshFor time.Duration
+	// SpreadInterval is the time between the messages to followers, and SilentAfter the time
+	// without a message after which a followed VM counts as lost.
+	SpreadInterval time.Duration
+	SilentAfter    time.Duration
+	// LostFor is how long a VM that could not be followed is left out.
+	LostFor time.Duration
+	// LapseAfter is the time without a confirmation after which entries of live servers may
+	// have lapsed, and LapseGrace is the time within which these are back.
 	LapseAfter time.Duration
 	LapseGrace time.Duration
 	// RetryMin and RetryMax bound the pause after a failed read.
@@ -46,7 +64,15 @@
 		Gather:           100 * time.Millisecond,
 		RegisterInterval: time.Minute,
 		VMTimeout:        3 * time.Minute,
-		LapseAfter:       time.Second,
+		Readers:          3,
+		Upstreams:        2,
+		FollowGrace:      1200 * time.Millisecond,
+		ReaderGrace:      600 * time.Millisecond,
+		FreshFor:         1300 * time.Millisecond,
+		SpreadInterval:   250 * time.Millisecond,
+		SilentAfter:      time.Second,
+		LostFor:          3 * time.Second,
+		LapseAfter:       2300 * time.Millisecond,
 		LapseGrace:       2300 * time.Millisecond,
 		RetryMin:         100 * time.Millisecond,
 		RetryMax:         time.Second,
@@ -60,57 +86,71 @@
 		return errors.New("directory: the name of the VM is empty")
 	case c.RetryMin <= 0 || c.RetryMax < c.RetryMin:
 		return errors.New("directory: the pauses after a failed read are out of order")
-	case c.ListInterval <= 0 || c.RegisterInterval <= 0:
+	case c.ListInterval <= 0 || c.RegisterInterval <= 0 || c.SpreadInterval <= 0:
 		return errors.New("directory: an interval is not positive")
+	case c.Readers < 1 || c.Upstreams < 0:
+		return errors.New("directory: the number of readers or of followed VMs is out of range")
 	}
 	return nil
 }
 
-// read is the state of the reads of one kind.
-type read struct {
-	revision uint64 // up to which the objects are known; 0 before the first list
-	running  bool
-	failures int        // in a row
-	dueAt    model.Time // of the next read, if none is running
-	list     bool       // the next read lists all objects
-	okAt     model.Time // last answer
-}
-
 // State is the control state of an entry VM.
 type State struct {
 	cfg      Config
 	reads    [kinds]read
+	objects  [kinds]map[string]Change // as the store has them
 	config   *model.EntryConfig
-	replicas map[string]*entry[model.Replica] // by the name of the object
+	replicas map[string]*replica // by the name of the object
 	zonesOut map[string]bool
 	rollouts map[string]model.Rollout
-	vms      map[string]*entry[model.EntryVM]
+	vms      map[string]*knownVM
+
+	upstreams map[model.VM]*upstream
+	lost      map[model.VM]lostVM
+	followers map[uint64]bool
+	vmLists   int // lists of the VMs that were read
+	spreadAt  model.Time
+
+	failing    bool       // the last read failed
+	doubtUntil model.Time // removals of replicas count as lapses until then
+	registerAt model.Time
+	registered bool
+	started    bool
+	startedAt  model.Time
+	changed    bool
+	effects    []Effect
+}
 
-	failingSince model.Time // 0 while the store answers
-	doubtUntil   model.Time // removals count as lapses until then
-	registerAt   model.Time
-	started      bool
-	changed      bool
-	effects      []Effect
+// replica is a backend server's entry.
+type replica struct {
+	value  model.Replica
+	lapsed bool // removed right after an outage of the store; kept until doubtUntil
 }
 
-// entry is an object with the time at which this VM last saw it change.
-type entry[T any] struct {
-	value    T
+// knownVM is a VM's entry with the time at which this VM last saw it change.
+type knownVM struct {
+	value    model.EntryVM
 	revision uint64
 	seenAt   model.Time
-	lapsed   bool // removed right after an outage of the store; kept until doubtUntil
 }
 
 // New returns a state that knows nothing.
 func New(cfg Config) *State {
-	return &State{
-		cfg:      cfg,
-		replicas: make(map[string]*entry[model.Replica]),
-		zonesOut: make(map[string]bool),
-		rollouts: make(map[string]model.Rollout),
-		vms:      make(map[string]*entry[model.EntryVM]),
+	s := &State{
+		cfg:       cfg,
+		replicas:  make(map[string]*replica),
+		zonesOut:  make(map[string]bool),
+		rollouts:  make(map[string]model.Rollout),
+		vms:       make(map[string]*knownVM),
+		upstreams: make(map[model.VM]*upstream),
+		lost:      make(map[model.VM]lostVM),
+		followers: make(map[uint64]bool),
+	}
+	for k := range s.objects {
+		s.objects[k] = make(map[string]Change)
+		s.reads[k].list = true
 	}
+	return s
 }
 
 // Ready reports whether enough is known to serve callers.
@@ -124,32 +164,32 @@
 	s.changed = false
 	switch ev := ev.(type) {
 	case Started:
-		s.start()
-	case Listed:
-		s.listed(ev, now)
-	case Changed:
-		s.answered(ev.Kind, now)
-		s.apply(ev.Kind, ev.Changes, now)
-		s.reads[ev.Kind].revision = max(s.reads[ev.Kind].revision, ev.Revision)
-		s.scheduleNext(ev.Kind, len(ev.Changes) > 0, now)
-	case HistoryGone:
-		s.answered(ev.Kind, now)
-		s.note(Info, "history of the store is gone, listing again", Field{"kind", ev.Kind},
-			Field{"since", s.reads[ev.Kind].revision})
-		s.reads[ev.Kind].list = true
-		s.reads[ev.Kind].dueAt = now
-	case ReadFailed:
-		s.readFailed(ev, now)
+		s.started, s.startedAt = true, now
+	case Listed, Changed, HistoryGone, ReadFailed:
+		s.readEnded(ev, now)
 	case Registered:
-		s.registered(ev, now)
+		s.registrationEnded(ev, now)
+	case Heard:
+		s.heard(ev, now)
+	case FollowEnded:
+		s.lose(ev.From, ev.Cause, now)
+	case FollowerJoined:
+		s.followerJoined(ev.Follower, now)
+	case FollowerLeft:
+		delete(s.followers, ev.Follower)
 	case Woken:
 	}
-	s.endDoubt(now)
-	s.runReads(now)
+	if s.started {
+		s.endDoubt(now)
+		s.chooseUpstreams(now)
+		s.runReads(now)
+		s.spreadAges(now)
+		s.register(now)
+	}
 	if s.changed {
 		s.publish(now)
 	}
-	s.askWake()
+	s.askWake(now)
 	return s.effects
 }
 
@@ -159,151 +199,54 @@
 	s.emit(Note{Level: level, Message: message, Fields: fields})
 }
 
-func (s *State) start() {
-	s.started = true
-	for k := range s.reads {
-		s.reads[k].list = true
-	}
-	s.registerAt = 0
-}
-
-// runReads starts the reads that are due, and the registration of this VM.
-func (s *State) runReads(now model.Time) {
-	if !s.started {
+func (s *State) register(now model.Time) {
+	if now < s.registerAt {
 		return
 	}
-	for k := range s.reads {
-		r := &s.reads[k]
-		if r.running || now < r.dueAt {
-			continue
-		}
-		r.running = true
-		if r.list {
-			s.emit(List{Kind: Kind(k)})
-		} else {
-			s.emit(Watch{Kind: Kind(k), Since: r.revision, Wait: s.cfg.Waits[k]})
-		}
-	}
-	if now >= s.registerAt {
-		s.registerAt = now.Add(s.cfg.RegisterInterval)
-		s.emit(Register{})
-	}
-}
-
-func (s *State) listed(ev Listed, now model.Time) {
-	s.answered(ev.Kind, now)
-	r := &s.reads[ev.Kind]
-	if ev.Revision < r.revision {
-		s.note(Warn, "list of the store is older than what is known", Field{"kind", ev.Kind},
-			Field{"revision", ev.Revision}, Field{"known", r.revision})
-		r.dueAt = now.Add(s.cfg.RetryMin)
-		return
-	}
-	first := r.revision == 0
-	r.revision = ev.Revision
-	r.list = false
-	s.apply(ev.Kind, append(ev.Changes, s.missing(ev)...), now)
-	s.changed = s.changed || first
-	s.scheduleNext(ev.Kind, false, now)
+	s.registerAt = now.Add(s.cfg.RegisterInterval)
+	s.emit(Register{Again: s.registered})
 }
 
-// missing returns the removals that a full list implies.
-func (s *State) missing(ev Listed) []Change {
-	listed := make(map[string]bool, len(ev.Changes))
-	for _, c := range ev.Changes {
-		listed[c.Name] = true
-	}
-	var names []string
-	switch ev.Kind {
-	case KindReplicas:
-		names = keysOf(s.replicas)
-	case KindZonesOut:
-		names = keysOf(s.zonesOut)
-	case KindRollouts:
-		names = keysOf(s.rollouts)
-	case KindVMs:
-		names = keysOf(s.vms)
-	}
-	var removed []Change
-	for _, name := range names {
-		if !listed[name] {
-			removed = append(removed, Change{Name: name, Revision: ev.Revision, Removed: true})
-		}
-	}
-	return removed
-}
-
-func keysOf[T any](m map[string]T) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (s *State) scheduleNext(k Kind, gather bool, now model.Time) {
-	r := &s.reads[k]
-	r.dueAt = now
-	switch {
-	case s.cfg.Waits[k] == 0:
-		r.list = true
-		r.dueAt = now.Add(s.cfg.ListInterval)
-	case gather && k == KindReplicas:
-		r.dueAt = now.Add(s.cfg.Gather)
-	}
-}
-
-// answered notes that the store has answered, and the end of an outage.
-func (s *State) answered(k Kind, now model.Time) {
-	r := &s.reads[k]
-	r.running, r.failures, r.okAt = false, 0, now
-	if s.failingSince == 0 {
-		return
-	}
-	away := now.Sub(s.failingSince)
-	s.failingSince = 0
-	if away >= s.cfg.LapseAfter {
-		s.doubtUntil = now.Add(s.cfg.LapseGrace)
-	}
-	s.note(Info, "store is back", Field{"away", away}, Field{"doubt_removals", away >= s.cfg.LapseAfter})
-}
-
-func (s *State) readFailed(ev ReadFailed, now model.Time) {
-	r := &s.reads[ev.Kind]
-	r.running = false
-	r.failures++
-	pause := min(s.cfg.RetryMin<<min(r.failures-1, 8), s.cfg.RetryMax)
-	r.dueAt = now.Add(pause)
-	if s.failingSince == 0 {
-		// A watch that was silent may have been dead since it started.
-		s.failingSince = max(r.okAt, 1)
-		s.note(Warn, "store does not answer", Field{"kind", ev.Kind}, Field{"cause", ev.Cause},
-			Field{"last_answer_ago", now.Sub(r.okAt)})
-	}
-}
-
-func (s *State) registered(ev Registered, now model.Time) {
+func (s *State) registrationEnded(ev Registered, now model.Time) {
 	if ev.Cause == "" {
+		s.registered = true
 		return
 	}
 	s.registerAt = now.Add(s.cfg.RetryMax)
 	s.note(Warn, "registration of this VM failed", Field{"cause", ev.Cause})
 }
 
-func (s *State) askWake() {
+// askWake asks for the next time at which something is due.
+func (s *State) askWake(now model.Time) {
 	at := s.registerAt
 	for k := range s.reads {
 		if !s.reads[k].running {
-			at = min(at, s.reads[k].dueAt)
+			at = min(at, s.nextRead(Kind(k), now))
 		}
 	}
 	if s.doubtUntil != 0 {
 		at = min(at, s.doubtUntil)
 	}
-	s.emit(Wake{At: at})
+	if len(s.followers) > 0 {
+		at = min(at, s.spreadAt)
+	}
+	for _, u := range s.upstreams {
+		at = min(at, u.heardAt.Add(s.cfg.SilentAfter))
+	}
+	if grace := s.startedAt.Add(s.cfg.ReaderGrace); grace > now {
+		at = min(at, grace)
+	}
+	for _, l := range s.lost {
+		if l.until > now {
+			at = min(at, l.until)
+		}
+	}
+	s.emit(Wake{At: max(at, now.Add(minWake))})
 }
 
+// minWake keeps a due time that nothing acts on from waking the VM without end.
+const minWake = time.Millisecond
+
 // publish hands the beliefs to the traffic workers.
 func (s *State) publish(now model.Time) {
 	v := &model.EntryView{
@@ -336,9 +279,11 @@
 	return max(n, 1)
 }
 
-func compareBorn(a, b model.Replica) int {
-	if c := a.Born.Compare(b.Born); c != 0 {
-		return c
+func keysOf[K ~string, T any](m map[K]T) []K {
+	names := make([]K, 0, len(m))
+	for name := range m {
+		names = append(names, name)
 	}
-	return cmp.Compare(a.Sequence, b.Sequence)
+	slices.Sort(names)
+	return names
 }
--- a/core/directory/event.go
+++ b/core/directory/event.go
@@ -42,8 +42,26 @@
 	Value    Value
 	// Problem says why the object cannot be read; Value is nil then.
 	Problem string
+	// Data is the object as the store sent it, for other VMs.
+	Data []byte
 }
 
+// Update is what one VM passes on to another about a kind.
+type Update struct {
+	Kind     Kind
+	Full     bool   // the changes are all objects of the kind
+	Since    uint64 // revision after which the changes are complete, unless Full
+	Revision uint64 // up to which they are complete
+	Changes  []Change
+}
+
+// Ages has, by kind, the time since the store last confirmed what is known. Unknown stands for
+// a kind of which nothing is known.
+type Ages [kinds]time.Duration
+
+// Unknown is the age of what is not known at all.
+const Unknown = time.Duration(-1)
+
 // Event is an input of the reducer.
 type Event interface{ event() }
 
@@ -72,17 +90,37 @@
 	}
 	// Registered reports how the registration of this VM ended.
 	Registered struct{ Cause string } // "" after success
+	// Heard brings what a followed VM says: the ages of what it knows, and changes unless
+	// Update is nil.
+	Heard struct {
+		From    model.VM
+		Ages    Ages
+		Update  *Update
+		Leaving bool
+	}
+	// FollowEnded reports that a VM can no longer be followed.
+	FollowEnded struct {
+		From  model.VM
+		Cause string
+	}
+	// FollowerJoined and FollowerLeft report the VMs that follow this one.
+	FollowerJoined struct{ Follower uint64 }
+	FollowerLeft   struct{ Follower uint64 }
 	// Woken reports that the time of the last Wake has come.
 	Woken struct{}
 )
 
-func (Started) event()     {}
-func (Listed) event()      {}
-func (Changed) event()     {}
-func (HistoryGone) event() {}
-func (ReadFailed) event()  {}
-func (Registered) event()  {}
-func (Woken) event()       {}
+func (Started) event()        {}
+func (Listed) event()         {}
+func (Changed) event()        {}
+func (HistoryGone) event()    {}
+func (ReadFailed) event()     {}
+func (Registered) event()     {}
+func (Heard) event()          {}
+func (FollowEnded) event()    {}
+func (FollowerJoined) event() {}
+func (FollowerLeft) event()   {}
+func (Woken) event()          {}
 
 // Effect is an output of the reducer.
 type Effect interface{ effect() }
@@ -97,8 +135,21 @@
 		Since uint64
 		Wait  time.Duration
 	}
-	// Register writes the entry of this VM.
-	Register struct{}
+	// Register writes the entry of this VM. Again tells that it has been written before.
+	Register struct{ Again bool }
+	// Follow opens a stream of what another VM knows, and Unfollow closes it.
+	Follow struct {
+		VM      model.VM
+		Address string
+	}
+	Unfollow struct{ VM model.VM }
+	// Spread passes an update on to one follower, or to all if Follower is 0. Update is nil
+	// if only the ages are told.
+	Spread struct {
+		Follower uint64
+		Ages     Ages
+		Update   *Update
+	}
 	// Publish hands the beliefs to the traffic workers.
 	Publish struct{ View *model.EntryView }
 	// Wake asks for Woken at a time. A later Wake replaces it.
@@ -115,6 +166,9 @@
 func (Watch) effect()    {}
 func (Register) effect() {}
 func (Publish) effect()  {}
+func (Follow) effect()   {}
+func (Unfollow) effect() {}
+func (Spread) effect()   {}
 func (Wake) effect()     {}
 func (Note) effect()     {}
 
--- /dev/null
+++ b/core/directory/reads.go
@@ -0,0 +1,208 @@
+package directory
+
+import (
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// read is the state of what is known of one kind and of its reads.
+type read struct {
+	revision uint64 // up to which the objects are known; 0 before the first list
+	running  bool
+	failures int        // in a row
+	dueAt    model.Time // of the next read, if none is running
+	list     bool       // the next read lists all objects
+	gap      bool       // changes are missing, so that only a list helps
+	okAt     model.Time // at which the store last confirmed what is known
+}
+
+// readEnded takes the end of a read of the store.
+func (s *State) readEnded(ev Event, now model.Time) {
+	switch ev := ev.(type) {
+	case Listed:
+		if ev.Kind == KindVMs {
+			s.vmLists++
+		}
+		s.storeAnswered(ev.Kind, now)
+		s.take(Update{Kind: ev.Kind, Full: true, Revision: ev.Revision, Changes: ev.Changes}, now)
+		s.scheduleNext(ev.Kind, false, now)
+	case Changed:
+		since := s.reads[ev.Kind].revision
+		s.storeAnswered(ev.Kind, now)
+		s.take(Update{Kind: ev.Kind, Since: since, Revision: ev.Revision, Changes: ev.Changes}, now)
+		s.scheduleNext(ev.Kind, len(ev.Changes) > 0, now)
+	case HistoryGone:
+		r := &s.reads[ev.Kind]
+		r.running, r.list, r.dueAt = false, true, now
+		s.note(Info, "history of the store is gone, listing again", Field{"kind", ev.Kind}, Field{"since", r.revision})
+	case ReadFailed:
+		s.readFailed(ev, now)
+	}
+}
+
+func (s *State) storeAnswered(k Kind, now model.Time) {
+	r := &s.reads[k]
+	r.running, r.failures = false, 0
+	if s.failing {
+		s.failing = false
+		s.note(Info, "store is back", Field{"kind", k}, Field{"last_confirmed_ago", now.Sub(r.okAt)})
+		for other := range s.reads {
+			if !s.reads[other].running {
+				s.reads[other].dueAt = min(s.reads[other].dueAt, now)
+			}
+		}
+	}
+	s.confirm(k, now)
+}
+
+// confirm notes that the store confirmed at a time what is known of a kind. After a long time
+// without one, entries of live servers may have lapsed.
+func (s *State) confirm(k Kind, at model.Time) {
+	r := &s.reads[k]
+	if at <= r.okAt {
+		return
+	}
+	gap := at.Sub(r.okAt)
+	if k == KindReplicas && r.revision > 0 && gap >= s.cfg.LapseAfter {
+		s.doubtUntil = at.Add(s.cfg.LapseGrace)
+		s.note(Info, "entries may have lapsed while the store was away", Field{"away", gap}, Field{"kept_for", s.cfg.LapseGrace})
+	}
+	r.okAt = at
+}
+
+func (s *State) readFailed(ev ReadFailed, now model.Time) {
+	r := &s.reads[ev.Kind]
+	r.running = false
+	r.failures++
+	r.dueAt = now.Add(min(s.cfg.RetryMin<<min(r.failures-1, 8), s.cfg.RetryMax))
+	if !s.failing {
+		s.failing = true
+		s.note(Warn, "store does not answer", Field{"kind", ev.Kind}, Field{"cause", ev.Cause},
+			Field{"last_confirmed_ago", now.Sub(r.okAt)})
+	}
+}
+
+func (s *State) scheduleNext(k Kind, gather bool, now model.Time) {
+	r := &s.reads[k]
+	r.dueAt = now
+	switch {
+	case k == KindVMs && s.vmLists < startLists:
+		r.dueAt = s.startedAt.Add(s.cfg.ReaderGrace)
+	case s.cfg.Waits[k] == 0:
+		r.dueAt = now.Add(s.cfg.ListInterval)
+	case gather && k == KindReplicas:
+		r.dueAt = now.Add(s.cfg.Gather)
+	}
+}
+
+// nextRead returns the earliest time for the next read of a kind by this VM. A VM that follows
+// others reads only what they do not keep fresh. While the store does not answer, only the
+// configuration is asked for.
+func (s *State) nextRead(k Kind, now model.Time) model.Time {
+	r := &s.reads[k]
+	if k == KindVMs && s.vmLists < startLists {
+		return r.dueAt // the other VMs have to be known first
+	}
+	if s.failing && k != KindConfig && r.okAt != 0 {
+		return noRead
+	}
+	if s.isReader(now) {
+		return r.dueAt
+	}
+	return max(r.dueAt, s.staleAt(k))
+}
+
+// startLists is how often a VM lists the VMs at its start: the first list may lack those that
+// start at the same time.
+const startLists = 2
+
+const noRead = model.Time(1<<63 - 1)
+
+// staleAt returns the time at which a kind counts as no longer fresh.
+func (s *State) staleAt(k Kind) model.Time {
+	r := &s.reads[k]
+	if r.revision == 0 {
+		return s.startedAt.Add(s.cfg.FollowGrace)
+	}
+	wait := s.cfg.Waits[k]
+	if wait == 0 {
+		wait = s.cfg.ListInterval
+	}
+	return r.okAt.Add(wait + s.cfg.FreshFor)
+}
+
+// isReader reports whether this VM reads the store for others. At its start it waits until the
+// VMs that start with it have registered.
+func (s *State) isReader(now model.Time) bool {
+	if len(s.followers) > 0 {
+		return true
+	}
+	return now >= s.startedAt.Add(s.cfg.ReaderGrace) && s.ranked() < s.cfg.Readers
+}
+
+// runReads starts the reads that are due.
+func (s *State) runReads(now model.Time) {
+	for k := range s.reads {
+		r := &s.reads[k]
+		if r.running || now < s.nextRead(Kind(k), now) {
+			continue
+		}
+		r.running = true
+		if r.list || r.revision == 0 {
+			s.emit(List{Kind: Kind(k)})
+		} else {
+			s.emit(Watch{Kind: Kind(k), Since: r.revision, Wait: s.cfg.Waits[k]})
+		}
+	}
+}
+
+// take applies an update from the store or from another VM and passes it on if it is new.
+func (s *State) take(u Update, now model.Time) {
+	r := &s.reads[u.Kind]
+	if u.Revision <= r.revision && !(u.Full && r.gap) {
+		return
+	}
+	if !u.Full && u.Since > r.revision {
+		s.note(Warn, "changes are missing, reading the store", Field{"kind", u.Kind},
+			Field{"known", r.revision}, Field{"since", u.Since})
+		r.gap, r.list, r.okAt = true, true, 0
+		return
+	}
+	changes := u.Changes
+	if u.Full {
+		r.gap = false
+		r.list = s.cfg.Waits[u.Kind] == 0
+		changes = append(s.missing(u), changes...)
+	}
+	s.changed = s.changed || r.revision == 0
+	r.revision = u.Revision
+	s.apply(u.Kind, changes, now)
+	if len(s.followers) > 0 {
+		s.emit(Spread{Ages: s.ages(now), Update: &u})
+	}
+}
+
+// missing returns the removals that a full list implies.
+func (s *State) missing(u Update) []Change {
+	listed := make(map[string]bool, len(u.Changes))
+	for _, c := range u.Changes {
+		listed[c.Name] = true
+	}
+	var removed []Change
+	for _, name := range keysOf(s.objects[u.Kind]) {
+		if !listed[name] {
+			removed = append(removed, Change{Name: name, Revision: u.Revision, Removed: true})
+		}
+	}
+	return removed
+}
+
+func (s *State) ages(now model.Time) Ages {
+	var ages Ages
+	for k := range s.reads {
+		ages[k] = Unknown
+		if s.reads[k].revision > 0 {
+			ages[k] = max(now.Sub(s.reads[k].okAt), 0)
+		}
+	}
+	return ages
+}
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -220,4 +220,3 @@
 	q.wakeAt = noWake
 	heap.Remove(&s.timers, q.heapIndex)
 }
-
--- a/entry/control.go
+++ b/entry/control.go
@@ -47,7 +47,15 @@
 	case directory.Watch:
 		go t.watch(ctx, e)
 	case directory.Register:
-		go t.register(ctx)
+		go t.register(ctx, e.Again)
+	case directory.Follow:
+		t.relay.Follow(ctx, e.VM, e.Address)
+	case directory.Unfollow:
+		t.relay.Unfollow(e.VM)
+	case directory.Spread:
+		if err := t.relay.Spread(e); err != nil {
+			t.log.Warn().Err(err).Msg("followers were not told of a change")
+		}
 	case directory.Publish:
 		t.view.Store(e.View)
 		t.meters.view(e.View)
@@ -96,12 +104,12 @@
 	}
 }
 
-func (t *Tier) register(ctx context.Context) {
+func (t *Tier) register(ctx context.Context, again bool) {
 	writeCtx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	t.meters.storeCalls.Inc(1)
 	ev := directory.Registered{}
-	if err := t.catalog.Register(writeCtx, t.cfg.VM); err != nil {
+	if err := t.catalog.Register(writeCtx, t.cfg.VM, again); err != nil {
 		ev.Cause = err.Error()
 	}
 	t.read(ctx, ev)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberrylock/gooseberrylock/core/directory"
 	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
 	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/peer/relay"
 )
 
 // Catalog reads and writes the objects of the store that an entry VM needs.
@@ -23,8 +24,10 @@
 	// Watch waits for changes of a kind since a revision. The error is ErrHistoryGone if the
 	// store no longer knows them.
 	Watch(ctx context.Context, kind directory.Kind, since uint64, wait time.Duration) (directory.Changed, error)
-	// Register writes the entry of this VM.
-	Register(ctx context.Context, vm model.EntryVM) error
+	// Register writes the entry of this VM. Again tells that it has been written before.
+	Register(ctx context.Context, vm model.EntryVM, again bool) error
+	// Decode reads an object as the store sent it.
+	Decode(kind directory.Kind, data []byte) directory.Change
 }
 
 // ErrHistoryGone means that the store has discarded the history that a watch asked for.
@@ -126,7 +129,9 @@
 	mu      sync.Mutex
 	pending map[model.QueryID]*pending
 
-	wg sync.WaitGroup
+	relay *relay.Network
+	done  chan struct{} // closed when Run ends
+	wg    sync.WaitGroup
 }
 
 // pending is a request whose caller waits.
@@ -150,7 +155,9 @@
 		inbox:   make(chan dispatch.Event, inboxSize),
 		reads:   make(chan directory.Event, inboxSize),
 		pending: make(map[model.QueryID]*pending),
+		done:    make(chan struct{}),
 	}
+	t.relay = relay.New(cfg.VM.Name, relayHandler{t: t}, catalog.Decode)
 	t.view.Store(&model.EntryView{Shares: 1})
 	return t, nil
 }
@@ -162,6 +169,7 @@
 	t.wg.Go(func() { t.runControl(ctx) })
 	t.wg.Go(func() { t.runTraffic(ctx) })
 	t.wg.Wait()
+	close(t.done)
 }
 
 // Ready reports whether enough is known to serve callers and no stop has begun.
@@ -183,6 +191,7 @@
 func (t *Tier) Stop() {
 	t.readyOnce.Store(true)
 	t.ready.Store(false)
+	t.relay.Leave()
 	t.inbox <- dispatch.StopStarted{End: t.now().Add(t.cfg.StopWork)}
 }
 
--- a/model/entry.go
+++ b/model/entry.go
@@ -114,6 +114,7 @@
 	Zone    AvailabilityZone
 	Address string // for other VMs
 	Boot    Boot
+	Link    float64 // bandwidth of its link in Mbit/s
 }
 
 // EntryView is what the traffic workers need to know of the control state. It is immutable.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/internal/deadline"
 	"github.com/gooseberrylock/gooseberrylock/model"
 	"github.com/gooseberrylock/gooseberrylock/peer/peerpb"
 	"github.com/gooseberrylock/gooseberrylock/store"
@@ -93,32 +94,9 @@
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
 }
 
-// deadlineConn bounds every write. Without it a peer that hangs would block its writer until
-// TCP gives up after many minutes.
-type deadlineConn struct{ net.Conn }
-
-// Write implements net.Conn.
-func (c deadlineConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(b)
-}
-
-type deadlineListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l deadlineListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return deadlineConn{conn}, nil
-}
-
 // Serve accepts peers until Close.
 func (n *Network) Serve(lis net.Listener) error {
-	lis = deadlineListener{lis}
+	lis = deadline.Listener{Listener: lis, Timeout: writeTimeout}
 	if n.cfg.TLS != nil {
 		lis = tls.NewListener(lis, n.cfg.TLS)
 	}
@@ -150,7 +128,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial peer at %s", address)
 	}
-	conn = deadlineConn{conn}
+	conn = deadline.Conn{Conn: conn, Timeout: writeTimeout}
 	if n.cfg.TLS != nil {
 		if conn, err = n.handshake(ctx, conn, address); err != nil {
 			return nil, err
--- /dev/null
+++ b/peer/relay/relay.go
@@ -0,0 +1,250 @@
+// Package relay carries what the VMs that read the store know to the other entry VMs:
+// protobuf over drpc, one long stream from each followed VM to each of its followers.
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/gooseberrylock/gooseberrylock/core/directory"
+	"github.com/gooseberrylock/gooseberrylock/internal/deadline"
+	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/peer/relay/relaypb"
+)
+
+const (
+	// maxMessage bounds one message in bytes; a kind has thousands of objects, and the
+	// configuration up to 1 MB.
+	maxMessage   = 64 << 20
+	dialTimeout  = 500 * time.Millisecond
+	writeTimeout = 2 * time.Second
+	// maxQueued bounds the messages that wait for one follower. A follower that falls
+	// further behind has to start anew.
+	maxQueued = 256
+)
+
+// Handler receives what followed VMs say, and who follows. It must not block for long.
+type Handler interface {
+	Heard(directory.Heard)
+	FollowEnded(directory.FollowEnded)
+	FollowerJoined(directory.FollowerJoined)
+	FollowerLeft(directory.FollowerLeft)
+}
+
+// DecodeFunc reads an object as the store sent it.
+type DecodeFunc func(kind directory.Kind, data []byte) directory.Change
+
+// Network holds the streams from followed VMs and to followers.
+type Network struct {
+	self    model.VM
+	handler Handler
+	decode  DecodeFunc
+
+	mu        sync.Mutex
+	follows   map[model.VM]context.CancelFunc
+	followers map[uint64]*follower
+	next      uint64
+	leaving   bool
+}
+
+type follower struct {
+	queue chan *relaypb.Update
+	full  chan struct{} // closed when the queue has overflowed
+	once  sync.Once
+}
+
+// New returns a network without streams.
+func New(self model.VM, handler Handler, decode DecodeFunc) *Network {
+	return &Network{
+		self:      self,
+		handler:   handler,
+		decode:    decode,
+		follows:   make(map[model.VM]context.CancelFunc),
+		followers: make(map[uint64]*follower),
+	}
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
+}
+
+// Serve accepts followers until ctx ends.
+func (n *Network) Serve(ctx context.Context, lis net.Listener) error {
+	mux := drpcmux.New()
+	if err := relaypb.DRPCRegisterRelay(mux, &server{n: n}); err != nil {
+		return eris.Wrap(err, "register relay service")
+	}
+	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	err := srv.Serve(ctx, deadline.Listener{Listener: lis, Timeout: writeTimeout})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrap(err, "serve followers")
+}
+
+// Follow opens a stream from a VM. Its end is reported unless Unfollow caused it.
+func (n *Network) Follow(ctx context.Context, vm model.VM, address string) {
+	ctx, cancel := context.WithCancel(ctx)
+	n.mu.Lock()
+	if old, ok := n.follows[vm]; ok {
+		old()
+	}
+	n.follows[vm] = cancel
+	n.mu.Unlock()
+	go func() {
+		err := n.receive(ctx, vm, address)
+		if ctx.Err() == nil {
+			n.handler.FollowEnded(directory.FollowEnded{From: vm, Cause: err.Error()})
+		}
+		cancel()
+	}()
+}
+
+// Unfollow closes the stream from a VM.
+func (n *Network) Unfollow(vm model.VM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if cancel, ok := n.follows[vm]; ok {
+		cancel()
+		delete(n.follows, vm)
+	}
+}
+
+// Leave tells all followers that this VM is about to stop.
+func (n *Network) Leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = true
+	for _, f := range n.followers {
+		f.put(&relaypb.Update{Leaving: true})
+	}
+}
+
+// Spread queues a message for one follower, or for all.
+func (n *Network) Spread(e directory.Spread) error {
+	m, err := encode(e)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e.Follower != 0 {
+		if f, ok := n.followers[e.Follower]; ok {
+			f.put(m)
+		}
+		return nil
+	}
+	for _, f := range n.followers {
+		f.put(m)
+	}
+	return nil
+}
+
+func (f *follower) put(m *relaypb.Update) {
+	select {
+	case f.queue <- m:
+	default:
+		f.once.Do(func() { close(f.full) })
+	}
+}
+
+func (n *Network) receive(ctx context.Context, vm model.VM, address string) error {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(dialCtx, "tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "dial VM %s", vm)
+	}
+	conn := drpcconn.NewWithOptions(deadline.Conn{Conn: raw, Timeout: writeTimeout}, drpcconn.Options{Manager: managerOptions()})
+	defer func() { _ = conn.Close() }() // a stream that has ended has nothing to lose
+	stream, err := relaypb.NewDRPCRelayClient(conn).Follow(ctx, &relaypb.FollowRequest{Vm: string(n.self)})
+	if err != nil {
+		return eris.Wrapf(err, "follow VM %s", vm)
+	}
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return eris.Wrapf(err, "stream of VM %s", vm)
+		}
+		h, err := n.decodeUpdate(vm, m)
+		if err != nil {
+			return err
+		}
+		n.handler.Heard(h)
+	}
+}
+
+// server implements the drpc service.
+type server struct{ n *Network }
+
+// Follow implements relaypb.DRPCRelayServer.
+func (s *server) Follow(_ *relaypb.FollowRequest, stream relaypb.DRPCRelay_FollowStream) error {
+	id, f := s.n.join()
+	if f == nil {
+		return eris.New("the VM is about to stop")
+	}
+	defer s.n.leave(id)
+	s.n.handler.FollowerJoined(directory.FollowerJoined{Follower: id})
+	for {
+		select {
+		case m := <-f.queue:
+			if err := stream.Send(m); err != nil {
+				return err
+			}
+		case <-f.full:
+			return eris.New("the follower is too slow")
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+func (n *Network) join() (uint64, *follower) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaving {
+		return 0, nil
+	}
+	n.next++
+	f := &follower{queue: make(chan *relaypb.Update, maxQueued), full: make(chan struct{})}
+	n.followers[n.next] = f
+	return n.next, f
+}
+
+func (n *Network) leave(id uint64) {
+	n.mu.Lock()
+	delete(n.followers, id)
+	n.mu.Unlock()
+	n.handler.FollowerLeft(directory.FollowerLeft{Follower: id})
+}
+
+// decodeUpdate translates a message of a followed VM.
+func (n *Network) decodeUpdate(from model.VM, m *relaypb.Update) (directory.Heard, error) {
+	h := directory.Heard{From: from, Leaving: m.GetLeaving(), Ages: decodeAges(m.GetAgesMicros())}
+	kind := directory.Kind(m.GetKind())
+	if m.GetRevision() == 0 || int(kind) >= len(h.Ages) {
+		return h, nil
+	}
+	objects, err := unpack(m.GetObjects())
+	if err != nil {
+		return h, eris.Wrapf(err, "objects of kind %s from VM %s", kind, from)
+	}
+	h.Update = &directory.Update{Kind: kind, Full: m.GetFull(), Since: m.GetSince(), Revision: m.GetRevision()}
+	for _, o := range objects {
+		c := directory.Change{Name: o.GetName(), Revision: o.GetRevision(), Removed: true}
+		if !o.GetRemoved() {
+			c = n.decode(kind, o.GetData())
+		}
+		h.Update.Changes = append(h.Update.Changes, c)
+	}
+	return h, nil
+}
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Regenerates the code under api/, platform/objectsapi/ and peer/peerpb/. Needs protoc; the other generators
+# Regenerates the code under api/, platform/objectsapi/ peer/peerpb and peer/relay/relaypb. Needs protoc; the other generators
 # are tools of go.mod.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -13,4 +13,4 @@
 "$bin/ogen" --config platform/ogen.yml --loglevel error --target platform/objectsapi --package objectsapi \
   --clean platform/objects.yaml
 PATH="$bin:$PATH" protoc --go_out=. --go_opt=paths=source_relative \
-  --go-drpc_out=. --go-drpc_opt=paths=source_relative peer/peerpb/peer.proto
+  --go-drpc_out=. --go-drpc_opt=paths=source_relative peer/peerpb/peer.proto peer/relay/relaypb/relay.proto
