--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -69,8 +69,8 @@
 		FollowGrace:      1200 * time.Millisecond,
 		ReaderGrace:      600 * time.Millisecond,
 		FreshFor:         1300 * time.Millisecond,
-		SpreadInterval:   250 * time.Millisecond,
-		SilentAfter:      time.Second,
+		SpreadInterval:   400 * time.Millisecond,
+		SilentAfter:      1300 * time.Millisecond,
 		LostFor:          3 * time.Second,
 		LapseAfter:       2300 * time.Millisecond,
 		LapseGrace:       2300 * time.Millisecond,
@@ -158,6 +158,14 @@
 	return s.config != nil && s.reads[KindReplicas].revision > 0 && s.reads[KindZonesOut].revision > 0
 }
 
+// Known returns the revision up to which a kind is known, or 0 if older news of it is needed.
+func (s *State) Known(k Kind) uint64 {
+	if s.reads[k].gap {
+		return 0
+	}
+	return s.reads[k].revision
+}
+
 // Reduce applies one event and returns the effects to carry out, in order.
 func (s *State) Reduce(ev Event, now model.Time) []Effect {
 	s.effects = nil
--- a/core/directory/event.go
+++ b/core/directory/event.go
@@ -22,6 +22,9 @@
 	kinds
 )
 
+// KindCount is the number of kinds.
+const KindCount = int(kinds)
+
 var kindNames = [kinds]string{"config", "replicas", "zones_out", "rollouts", "vms"}
 
 // String implements fmt.Stringer.
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"container/heap"
 
@@ -96,10 +97,10 @@
 		{"route", q.route.Name}, {"missing", missing}, {"shards", len(q.shards)},
 		{"after", now.Sub(q.received)}, {"config", s.view.Config.Version},
 	}
-	s.note(Info, "partial answer", q, append(fields, q.openShards()...)...)
+	s.note(Info, "partial answer", q, append(fields, q.openShards(now)...)...)
 }
 
-func (q *query) openShards() []Field {
+func (q *query) openShards(now model.Time) []Field {
 	var fields []Field
 	for i := range q.shards {
 		sh := &q.shards[i]
@@ -111,7 +112,7 @@
 		}
 		text := sh.cause
 		for _, a := range sh.running {
-			text += fmt.Sprintf(" waiting for %s;", a.server.ID)
+			text += fmt.Sprintf(" waiting for %s since %s;", a.server.ID, now.Sub(a.sent).Round(time.Millisecond))
 		}
 		fields = append(fields, Field{"missing." + string(sh.set), text})
 	}
@@ -177,7 +178,7 @@
 	if s.view.Config != nil {
 		fields = append(fields, Field{"config", s.view.Config.Version}, Field{"config_age", until(now, s.view.AsOf)})
 	}
-	s.note(Warn, "request refused", q, append(fields, q.openShards()...)...)
+	s.note(Warn, "request refused", q, append(fields, q.openShards(now)...)...)
 	s.endQuery(q, now)
 }
 
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -25,6 +25,12 @@
 	refusedFor = 100 * time.Millisecond
 	// lostFor is how long a server that could not be reached is avoided.
 	lostFor = 500 * time.Millisecond
+	// connectCost is the wait that a server without a kept connection is taken to add. It is
+	// scaled by a preference of this VM, so that many VMs spread over the servers and each
+	// keeps few connections.
+	connectCost = 10 * time.Millisecond
+	// keptFor is how long after an answer a connection is taken to be kept.
+	keptFor = 8 * time.Second
 	// avoidCost is the wait, in medians of the route, that an avoided server is taken to add.
 	avoidCost = 20
 )
@@ -112,6 +118,9 @@
 	if stuck := s.stuck(now); stuck > l.high {
 		wait += float64(stuck)
 	}
+	if s.answeredAt == 0 || now.Sub(s.answeredAt) > keptFor {
+		wait += float64(connectCost) * (0.5 + s.rank)
+	}
 	cost := failureCost * s.failures * decay(now.Sub(s.failedAt), failureMemory)
 	if now < s.avoidUntil {
 		cost += avoidCost
--- a/entry/control.go
+++ b/entry/control.go
@@ -19,6 +19,9 @@
 		for _, e := range state.Reduce(next, t.now()) {
 			t.performControl(ctx, e, timer)
 		}
+		for _, k := range directory.Kinds() {
+			t.known[k].Store(state.Known(k))
+		}
 		if state.Ready() {
 			t.becomeReady()
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,7 +130,8 @@
 	pending map[model.QueryID]*pending
 
 	relay *relay.Network
-	done  chan struct{} // closed when Run ends
+	known [directory.KindCount]atomic.Uint64 // revisions, by kind
+	done  chan struct{}                      // closed when Run ends
 	wg    sync.WaitGroup
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -33,3 +33,6 @@
 func (t *Tier) ServePeers(ctx context.Context, lis net.Listener) error {
 	return t.relay.Serve(ctx, lis)
 }
+
+// Known implements relay.Handler.
+func (h relayHandler) Known(kind directory.Kind) uint64 { return h.t.known[kind].Load() }
--- a/peer/relay/codec.go
+++ b/peer/relay/codec.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,10 +25,22 @@
 	m.Since = e.Update.Since
 	m.Revision = e.Update.Revision
 	var err error
-	m.Objects, err = pack(e.Update.Changes)
+	m.Objects, m.Packed, err = pack(e.Update.Changes)
 	return m, err
 }
 
+// packFrom is the size in bytes from which objects are packed.
+const packFrom = 2048
+
+// packers keeps gzip writers, which allocate about 1 MB each.
+var packers = sync.Pool{New: func() any {
+	w, err := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+	if err != nil {
+		panic(err) // only an invalid level can cause this
+	}
+	return w
+}}
+
 // encodeAges writes ages from 1 on, since 0 stands for an unknown one.
 func encodeAges(ages directory.Ages) []uint64 {
 	micros := make([]uint64, len(ages))
@@ -50,11 +63,11 @@
 	return ages
 }
 
-func pack(changes []directory.Change) ([]byte, error) {
+func pack(changes []directory.Change) (data []byte, packed bool, err error) {
 	if len(changes) == 0 {
-		return nil, nil
+		return nil, false, nil
 	}
-	var objects relaypb.Objects
+	objects := &relaypb.Objects{Objects: make([]*relaypb.Object, 0, len(changes))}
 	for _, c := range changes {
 		o := &relaypb.Object{Name: c.Name, Revision: c.Revision, Removed: c.Removed}
 		if !c.Removed {
@@ -62,32 +75,32 @@
 		}
 		objects.Objects = append(objects.Objects, o)
 	}
-	data, err := proto.Marshal(&objects)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode objects")
+	data, err = proto.Marshal(objects)
+	if err != nil || len(data) < packFrom {
+		return data, false, eris.Wrap(err, "encode objects")
 	}
-	var packed bytes.Buffer
-	w := gzip.NewWriter(&packed)
+	w := packers.Get().(*gzip.Writer)
+	defer packers.Put(w)
+	var out bytes.Buffer
+	w.Reset(&out)
 	if _, err := w.Write(data); err != nil {
-		return nil, eris.Wrap(err, "pack objects")
+		return nil, false, eris.Wrap(err, "pack objects")
 	}
 	if err := w.Close(); err != nil {
-		return nil, eris.Wrap(err, "pack objects")
+		return nil, false, eris.Wrap(err, "pack objects")
 	}
-	return packed.Bytes(), nil
+	return out.Bytes(), true, nil
 }
 
-func unpack(packed []byte) ([]*relaypb.Object, error) {
-	if len(packed) == 0 {
-		return nil, nil
-	}
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, eris.Wrap(err, "unpack")
-	}
-	data, err := io.ReadAll(io.LimitReader(r, maxMessage))
-	if err != nil {
-		return nil, eris.Wrap(err, "unpack")
+func unpack(data []byte, packed bool) ([]*relaypb.Object, error) {
+	if packed {
+		r, err := gzip.NewReader(bytes.NewReader(data))
+		if err != nil {
+			return nil, eris.Wrap(err, "unpack")
+		}
+		if data, err = io.ReadAll(io.LimitReader(r, maxMessage)); err != nil {
+			return nil, eris.Wrap(err, "unpack")
+		}
 	}
 	var objects relaypb.Objects
 	if err := proto.Unmarshal(data, &objects); err != nil {
--- a/peer/relay/relay.go
+++ b/peer/relay/relay.go
@@ -38,6 +38,9 @@
 	FollowEnded(directory.FollowEnded)
 	FollowerJoined(directory.FollowerJoined)
 	FollowerLeft(directory.FollowerLeft)
+	// Known returns the revision up to which a kind is known, so that older updates need not
+	// be read. It may be called from any goroutine.
+	Known(directory.Kind) uint64
 }
 
 // DecodeFunc reads an object as the store sent it.
@@ -234,7 +237,11 @@
 	if m.GetRevision() == 0 || int(kind) >= len(h.Ages) {
 		return h, nil
 	}
-	objects, err := unpack(m.GetObjects())
+	known := n.handler.Known(kind)
+	if m.GetRevision() <= known {
+		return h, nil
+	}
+	objects, err := unpack(m.GetObjects(), m.GetPacked())
 	if err != nil {
 		return h, eris.Wrapf(err, "objects of kind %s from VM %s", kind, from)
 	}
