Hand gathered queries to the larger VMs

Cause: a query over 90 shards costs an entry VM 90 attempts; 60 of 68 VMs have 0.19 of a core, so that sending alone took them up to the 40 to 80 ms of the fast routes, and 68 VMs held 24,000 connections of 6 ms each. Now VMs with at least half of the largest VM's cores, as many as the servers' connections allow, send gathered queries; the others hand theirs to one of their zone and send themselves when it does not accept within 40 ms. On sites of equal VMs all send, as before. The burst of the retry budget is shared by the senders. Ruled out: fewer allocations an attempt (60 us, mostly net/http and system calls).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -273,9 +274,63 @@
 	for _, r := range s.rollouts {
 		v.Rollouts[r.Set] = r
 	}
+	v.Senders = s.senders(now)
+	v.Sends = slices.ContainsFunc(v.Senders, func(vm model.EntryVM) bool { return vm.Name == s.cfg.Self })
 	s.emit(Publish{View: v})
 }
 
+const (
+	// senderCores is the part of the largest VM's cores that a sender has at least.
+	senderCores = 0.5
+	// senderConns is the number of connections that a sender needs to one backend server, and
+	// connsInUse the part of a server's connections that is planned with.
+	senderConns = 2
+	connsInUse  = 0.8
+)
+
+// senders returns the VMs that send gathered queries: the larger ones, no more than the
+// connections of the backend servers allow. Every VM that knows the same finds the same.
+func (s *State) senders(now model.Time) []model.EntryVM {
+	var vms []model.EntryVM
+	largest := 0.0
+	for _, vm := range s.rankedVMs() {
+		if now.Sub(s.vms[string(vm.Name)].seenAt) < s.cfg.VMTimeout {
+			vms = append(vms, vm)
+			largest = max(largest, vm.Cores)
+		}
+	}
+	vms = slices.DeleteFunc(vms, func(vm model.EntryVM) bool { return vm.Cores < senderCores*largest })
+	return vms[:min(len(vms), s.maxSenders())]
+}
+
+// maxSenders returns how many senders the connections of the backend servers allow.
+func (s *State) maxSenders() int {
+	conns := math.MaxInt
+	if s.config == nil {
+		return conns
+	}
+	for i := range s.config.Routes {
+		for _, set := range s.config.Routes[i].Shards {
+			if c := s.config.Sets[set].MaxConns; c > 0 {
+				conns = min(conns, c)
+			}
+		}
+	}
+	if conns == math.MaxInt {
+		return conns
+	}
+	return max(int(connsInUse*float64(conns)/senderConns), 1)
+}
+
+// Age returns how old the oldest of the beliefs is that decide where a request may go.
+func (s *State) Age(now model.Time) time.Duration {
+	age := time.Duration(0)
+	for _, k := range []Kind{KindConfig, KindReplicas, KindZonesOut} {
+		age = max(age, now.Sub(s.reads[k].okAt))
+	}
+	return age
+}
+
 // shares returns the number of VMs that may serve callers now.
 func (s *State) shares(now model.Time) int {
 	n := 0
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -69,7 +69,7 @@
 }
 
 func (s *State) answerGathered(q *query, now model.Time) {
-	g := Gathered{Query: q.id, Signatures: make([]string, 0, q.answered), Missing: len(q.shards) - q.answered}
+	g := Gathered{Query: q.id, Version: s.view.Config.Version, Signatures: make([]string, 0, q.answered), Missing: len(q.shards) - q.answered}
 	parts := make([][]byte, 0, q.answered)
 	for i := range q.shards {
 		if part := q.shards[i].part; part != nil {
--- a/core/dispatch/budget.go
+++ b/core/dispatch/budget.go
@@ -63,18 +63,18 @@
 
 // room returns how many repeats the window has left. A VM that has run for less than a window
 // gets no share of the burst: an earlier process of the same VM may have used it.
-func (b *budget) room(cfg BudgetConfig, now model.Time, shares int) float64 {
+func (b *budget) room(cfg BudgetConfig, now model.Time, burst float64) float64 {
 	b.advance(now)
 	bound := cfg.Ratio * ratioShare * float64(b.total.requests)
 	if time.Duration(now) >= cfg.Window {
-		bound += cfg.Burst * burstShare / float64(max(shares, 1))
+		bound += burst * burstShare
 	}
 	return bound - float64(b.total.repeats)
 }
 
-// take uses one repeat if there is room for it.
-func (b *budget) take(cfg BudgetConfig, now model.Time, shares int, hedge bool) bool {
-	room := b.room(cfg, now, shares)
+// take uses one repeat if there is room for it. Burst is this VM's part of the burst.
+func (b *budget) take(cfg BudgetConfig, now model.Time, burst float64, hedge bool) bool {
+	room := b.room(cfg, now, burst)
 	reserve := 0.0
 	if hedge {
 		reserve = (1 - hedgeShare) * (room + float64(b.total.repeats))
--- a/core/dispatch/budget_test.go
+++ b/core/dispatch/budget_test.go
@@ -37,7 +37,7 @@
 				requests[step]++
 			}
 			// Every VM repeats as much as it may.
-			if vm.budget.take(cfg, since, len(vms), rng.IntN(2) == 0) {
+			if vm.budget.take(cfg, since, cfg.Burst/float64(len(vms)), rng.IntN(2) == 0) {
 				repeats[step]++
 			}
 			if rng.IntN(3000) == 0 {
@@ -70,8 +70,8 @@
 	is := is.New(t)
 	cfg := BudgetConfig{Ratio: 0.2, Burst: 52, Window: testWindow}
 	b := newBudget(cfg)
-	is.True(!b.take(cfg, model.Time(time.Second), 6, false))
-	is.True(b.take(cfg, model.Time(11*time.Second), 6, false))
+	is.True(!b.take(cfg, model.Time(time.Second), cfg.Burst/6, false))
+	is.True(b.take(cfg, model.Time(11*time.Second), cfg.Burst/6, false))
 }
 
 // Guards against hedges that leave nothing for failures.
@@ -81,10 +81,10 @@
 	b := newBudget(cfg)
 	now := model.Time(20 * time.Second)
 	hedges, retries := 0, 0
-	for b.take(cfg, now, 1, true) {
+	for b.take(cfg, now, cfg.Burst, true) {
 		hedges++
 	}
-	for b.take(cfg, now, 1, false) {
+	for b.take(cfg, now, cfg.Burst, false) {
 		retries++
 	}
 	is.Equal(hedges+retries, 85)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/model"
@@ -12,6 +14,7 @@
 // Config are the settings of the reducer.
 type Config struct {
 	Self   model.VM
+	Zone   model.AvailabilityZone
 	Seed   uint64
 	Budget BudgetConfig
 }
@@ -40,11 +43,14 @@
 	latency  map[string]*latencies // by the name of the route
 	queries  map[model.QueryID]*query
 	attempts map[model.AttemptID]*attempt
-	next     model.AttemptID
-	timers   timers
-	wakeAt   model.Time // last Wake asked for, 0 for none
-	stopEnd  model.Time // 0 unless the VM is stopping
-	effects  []Effect
+	senders  map[model.VM]*sender
+	// seenVersion is the newest version of the configuration that a sender has answered with.
+	seenVersion uint64
+	next        model.AttemptID
+	timers      timers
+	wakeAt      model.Time // last Wake asked for, 0 for none
+	stopEnd     model.Time // 0 unless the VM is stopping
+	effects     []Effect
 }
 
 // New returns a state without a view: it refuses all requests as not run.
@@ -59,6 +65,7 @@
 		latency:  make(map[string]*latencies),
 		queries:  make(map[model.QueryID]*query),
 		attempts: make(map[model.AttemptID]*attempt),
+		senders:  make(map[model.VM]*sender),
 	}
 }
 
@@ -73,6 +80,8 @@
 		s.callerGone(ev.Query)
 	case AttemptEnded:
 		s.attemptEnded(ev, now)
+	case ForwardAccepted, ForwardDeclined, ForwardAnswered, ForwardLost:
+		s.forwardEnded(ev, now)
 	case ViewPublished:
 		s.publish(ev.View, now)
 	case StopStarted:
@@ -96,15 +105,6 @@
 	return n
 }
 
-// RetryRoom returns how many repeats a replica set has left at this VM, and whether it is known.
-func (s *State) RetryRoom(set model.ReplicaSet, now model.Time) (float64, bool) {
-	b, ok := s.budgets[set]
-	if !ok {
-		return 0, false
-	}
-	return b.room(s.cfg.Budget, now, s.view.Shares), true
-}
-
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
 func (s *State) count(c Counter) { s.emit(Count{Counter: c}) }
@@ -116,8 +116,10 @@
 // publish replaces the view. What was seen of servers that are gone is forgotten once no
 // attempt runs on them.
 func (s *State) publish(view *model.EntryView, _ model.Time) {
+	if view.Config != s.view.Config {
+		s.routes = newTable(view.Config)
+	}
 	s.view = view
-	s.routes = newTable(view.Config)
 	known := make(map[serverKey]bool)
 	for _, replicas := range view.Replicas {
 		for i := range replicas {
@@ -149,6 +151,28 @@
 	return srv
 }
 
+// sortedQueries returns the queries in a fixed order.
+func (s *State) sortedQueries() []*query {
+	queries := make([]*query, 0, len(s.queries))
+	for _, q := range s.queries {
+		queries = append(queries, q)
+	}
+	slices.SortFunc(queries, func(a, b *query) int { return cmp.Compare(a.id, b.id) })
+	return queries
+}
+
+// burst returns this VM's part of the burst of a retry budget. Only senders repeat attempts
+// of gathered queries beyond the ratio.
+func (s *State) burst(r *route) float64 {
+	switch {
+	case !r.Gathers():
+		return s.cfg.Budget.Burst / float64(max(s.view.Shares, 1))
+	case s.view.Sends:
+		return s.cfg.Budget.Burst / float64(max(len(s.view.Senders), 1))
+	}
+	return 0
+}
+
 func (s *State) budgetOf(set model.ReplicaSet) *budget {
 	b, ok := s.budgets[set]
 	if !ok {
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -21,6 +21,12 @@
 		Host     string // without port
 		Path     string
 		Patience time.Duration // what is left of the caller's deadline; 0 if it stated none
+		OwnAge   time.Duration // age of this VM's beliefs
+		// Forwarded means that another VM hands the query over; Version is the least version
+		// of the configuration that may answer, and Age the age of that VM's beliefs.
+		Forwarded bool
+		Version   uint64
+		Age       time.Duration
 	}
 	// CallerGone reports that the caller no longer waits.
 	CallerGone struct{ Query model.QueryID }
@@ -103,6 +109,7 @@
 	// Gathered answers a caller with the merged parts of several shards.
 	Gathered struct {
 		Query      model.QueryID
+		Version    uint64   // of the configuration
 		Signatures []string // of the parts that are in
 		Missing    int      // shards that are left out
 		Body       []byte
@@ -202,6 +209,7 @@
 	CountAttemptNotRun
 	CountAttemptUnclear
 	CountLateReplies
+	CountForwarded
 	counters
 )
 
@@ -209,7 +217,7 @@
 	"requests", "answers.complete", "answers.partial", "answers.passed",
 	"refusals.not_run", "refusals.failed", "refusals.timeout", "refusals.no_route", "callers.gone",
 	"attempts", "attempts.hedges", "attempts.retries", "retry_budget.empty",
-	"attempts.answered", "attempts.not_sent", "attempts.not_run", "attempts.unclear", "attempts.late_replies",
+	"attempts.answered", "attempts.not_sent", "attempts.not_run", "attempts.unclear", "attempts.late_replies", "queries.forwarded",
 }
 
 // String returns the name of the counter in the metrics.
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -43,6 +43,9 @@
 	hedged   bool
 	ended    bool
 
+	sender   model.VM   // that has the query, or ""
+	acceptBy model.Time // noWake once the sender has accepted
+
 	wakeAt    model.Time
 	heapIndex int
 }
@@ -74,6 +77,14 @@
 func (s *State) received(ev RequestReceived, now model.Time) {
 	s.count(CountRequests)
 	q := &query{id: ev.Query, callerID: ev.CallerID, received: now, wakeAt: noWake}
+	if ev.Forwarded {
+		if reason := s.declineReason(ev, now); reason != "" {
+			s.note(Info, "query declined", q, Field{"reason", reason}, Field{"age", ev.OwnAge}, Field{"its_age", ev.Age})
+			s.emit(Decline{Query: q.id, Reason: reason})
+			return
+		}
+		s.emit(Accept{Query: q.id})
+	}
 	if s.view.Config == nil {
 		s.refuse(q, CodeNotRun, "no configuration is known yet", now)
 		return
@@ -90,14 +101,11 @@
 		s.refuse(q, CodeNotRun, "the VM is stopping", now)
 		return
 	}
-	s.setShards(q)
 	s.queries[q.id] = q
 	heap.Push(&s.timers, q)
-	for i := range q.shards {
-		s.budgetOf(q.shards[i].set).request(now)
-		s.start(q, i, now)
+	if ev.Forwarded || !s.forward(q, ev.OwnAge, now) {
+		s.sendSelf(q, now)
 	}
-	s.settle(q, now)
 }
 
 func (s *State) setTimes(q *query, patience time.Duration) {
@@ -290,11 +298,11 @@
 	if r == nil {
 		return false
 	}
-	if len(sh.tried) > 0 && !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.view.Shares, false) {
+	if len(sh.tried) > 0 && !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.burst(q.route), false) {
 		s.count(CountBudgetEmpty)
 		sh.cause += "; retry budget is used up"
 		s.note(Info, "no retry", q, Field{"set", sh.set}, Field{"cause", "retry budget is used up"},
-			Field{"shares", s.view.Shares})
+			Field{"burst", s.burst(q.route)})
 		return false
 	}
 	if len(sh.tried) > 0 {
@@ -315,6 +323,10 @@
 	}
 	s.count(CountCallerGone)
 	s.note(Debug, "caller left", q)
+	if q.sender != "" {
+		s.emit(CancelForward{Query: q.id, VM: q.sender})
+		s.takeBack(q)
+	}
 	s.endQuery(q, q.received)
 	s.abortAll(q)
 }
@@ -334,6 +346,10 @@
 		s.drop(q)
 		return
 	}
+	if q.sender != "" {
+		s.wakeForwarded(q, now)
+		return
+	}
 	for i := range q.shards {
 		if q.shards[i].hedgeAt <= now && !q.shards[i].done {
 			s.hedge(q, i, now)
@@ -362,7 +378,7 @@
 	for _, a := range sh.running {
 		a.stats.observeWait(float64(now.Sub(a.sent))/max(float64(q.latency.median), float64(latencyUnit)), now)
 	}
-	if !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.view.Shares, true) {
+	if !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.burst(q.route), true) {
 		s.count(CountBudgetEmpty)
 		return
 	}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -57,14 +57,19 @@
 }
 
 func newServer(self model.VM, id model.BackendServerID) *server {
-	h := xxhash.Sum64String(string(self) + "\x00" + string(id))
 	return &server{
 		running:  make(map[model.AttemptID]model.Time),
 		slowness: 1,
-		rank:     float64(h>>11) / (1 << 53),
+		rank:     rank(self, string(id)),
 	}
 }
 
+// rank is a fixed preference of a VM among named things, in [0, 1).
+func rank(self model.VM, name string) float64 {
+	h := xxhash.Sum64String(string(self) + "\x00" + name)
+	return float64(h>>11) / (1 << 53)
+}
+
 func decay(since time.Duration, memory time.Duration) float64 {
 	return math.Exp(-float64(since) / float64(memory))
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -22,6 +22,7 @@
 		for _, k := range directory.Kinds() {
 			t.known[k].Store(state.Known(k))
 		}
+		t.okAt.Store(int64(t.now().Add(-state.Age(t.now()))))
 		if state.Ready() {
 			t.becomeReady()
 		}
@@ -52,9 +53,9 @@
 	case directory.Register:
 		go t.register(ctx, e.Again)
 	case directory.Follow:
-		t.relay.Follow(ctx, e.VM, e.Address)
+		t.relay.Start(ctx, e.VM, e.Address)
 	case directory.Unfollow:
-		t.relay.Unfollow(e.VM)
+		t.relay.Stop(e.VM)
 	case directory.Spread:
 		if err := t.relay.Spread(e); err != nil {
 			t.log.Warn().Err(err).Msg("followers were not told of a change")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberrylock/gooseberrylock/core/directory"
 	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
 	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/peer/forward"
 	"github.com/gooseberrylock/gooseberrylock/peer/relay"
 )
 
@@ -96,7 +97,7 @@
 }
 
 func (c Config) dispatchConfig() dispatch.Config {
-	return dispatch.Config{Self: c.VM.Name, Seed: c.Seed, Budget: c.Budget}
+	return dispatch.Config{Self: c.VM.Name, Zone: c.VM.Zone, Seed: c.Seed, Budget: c.Budget}
 }
 
 // DefaultConfig returns the settings for a VM.
@@ -128,17 +129,21 @@
 
 	mu      sync.Mutex
 	pending map[model.QueryID]*pending
+	handed  map[handedQuery]model.QueryID
 
-	relay *relay.Network
-	known [directory.KindCount]atomic.Uint64 // revisions, by kind
-	done  chan struct{}                      // closed when Run ends
-	wg    sync.WaitGroup
+	forward *forward.Network
+	okAt    atomic.Int64 // model.Time at which the oldest of the beliefs was confirmed
+	relay   *relay.Network
+	known   [directory.KindCount]atomic.Uint64 // revisions, by kind
+	done    chan struct{}                      // closed when Run ends
+	wg      sync.WaitGroup
 }
 
 // pending is a request whose caller waits.
 type pending struct {
 	req    *Request
-	answer chan Answer
+	answer chan Answer // nil for a query that another VM has handed over
+	handed handedQuery
 }
 
 // New returns an entry VM that is not running yet.
@@ -156,8 +161,10 @@
 		inbox:   make(chan dispatch.Event, inboxSize),
 		reads:   make(chan directory.Event, inboxSize),
 		pending: make(map[model.QueryID]*pending),
+		handed:  make(map[handedQuery]model.QueryID),
 		done:    make(chan struct{}),
 	}
+	t.forward = forward.New(forwardHandler{t: t})
 	t.relay = relay.New(cfg.VM.Name, relayHandler{t: t}, catalog.Decode)
 	t.view.Store(&model.EntryView{Shares: 1})
 	return t, nil
@@ -208,6 +215,7 @@
 	defer t.forget(id)
 	t.inbox <- dispatch.RequestReceived{
 		Query: id, CallerID: r.CallerID, Host: r.RouteHost, Path: r.RoutePath, Patience: r.Patience,
+		OwnAge: t.age(),
 	}
 	select {
 	case a := <-p.answer:
@@ -218,6 +226,9 @@
 	}
 }
 
+// age returns how old the oldest of the beliefs is that decide where a request may go.
+func (t *Tier) age() time.Duration { return t.now().Sub(model.Time(t.okAt.Load())) }
+
 func (t *Tier) forget(id model.QueryID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -3,8 +3,16 @@
 import (
 	"context"
 	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
 	"github.com/gooseberrylock/gooseberrylock/core/directory"
+	"github.com/gooseberrylock/gooseberrylock/internal/deadline"
+	"github.com/gooseberrylock/gooseberrylock/peer/forward/forwardpb"
+	"github.com/gooseberrylock/gooseberrylock/peer/relay/relaypb"
 )
 
 // relayHandler hands what the relay brings to the control goroutine.
@@ -29,10 +37,25 @@
 // FollowerLeft implements relay.Handler.
 func (h relayHandler) FollowerLeft(ev directory.FollowerLeft) { h.put(ev) }
 
-// ServePeers lets other VMs follow this one until ctx ends.
+// ServePeers serves other VMs until ctx ends: those that follow this one, and those that hand
+// queries to it.
 func (t *Tier) ServePeers(ctx context.Context, lis net.Listener) error {
-	return t.relay.Serve(ctx, lis)
+	mux := drpcmux.New()
+	if err := relaypb.DRPCRegisterRelay(mux, t.relay); err != nil {
+		return eris.Wrap(err, "register the relay service")
+	}
+	if err := forwardpb.DRPCRegisterForward(mux, t.forward); err != nil {
+		return eris.Wrap(err, "register the forward service")
+	}
+	err := drpcserver.New(mux).Serve(ctx, deadline.Listener{Listener: lis, Timeout: peerWriteTimeout})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return eris.Wrap(err, "serve other VMs")
 }
 
+// peerWriteTimeout ends the connection to a VM that does not read.
+const peerWriteTimeout = 2 * time.Second
+
 // Known implements relay.Handler.
 func (h relayHandler) Known(kind directory.Kind) uint64 { return h.t.known[kind].Load() }
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -6,6 +6,7 @@
 
 	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
 	"github.com/gooseberrylock/gooseberrylock/model"
+	"github.com/gooseberrylock/gooseberrylock/peer/forward/forwardpb"
 )
 
 // traffic carries out the effects of the traffic reducer. Only its goroutine uses it.
@@ -65,6 +66,16 @@
 		tr.answer(e.Query, Answer{Gathered: &e})
 	case dispatch.Refuse:
 		tr.answer(e.Query, Answer{Refusal: &e})
+	case dispatch.Forward:
+		tr.forward(e)
+	case dispatch.CancelForward:
+		tr.t.forward.Send(tr.ctx, e.VM, "", &forwardpb.Query{Id: uint64(e.Query), Cancel: true})
+	case dispatch.SuspectSender:
+		tr.t.forward.Suspect(e.VM)
+	case dispatch.Accept:
+		tr.acceptance(e.Query, &forwardpb.Answer{Accepted: true})
+	case dispatch.Decline:
+		tr.acceptance(e.Query, &forwardpb.Answer{Declined: true})
 	case dispatch.Wake:
 		tr.timer.Reset(max(e.At.Sub(tr.t.now()), 0))
 	case dispatch.Note:
@@ -77,7 +88,12 @@
 }
 
 func (tr *traffic) answer(id model.QueryID, a Answer) {
-	if p, ok := tr.t.lookup(id); ok {
+	p, ok := tr.t.lookup(id)
+	switch {
+	case !ok: // the caller has left
+	case p.answer == nil:
+		tr.t.answerHanded(id, p, a)
+	default:
 		p.answer <- a
 	}
 }
--- a/model/entry.go
+++ b/model/entry.go
@@ -115,6 +115,7 @@
 	Address string // for other VMs
 	Boot    Boot
 	Link    float64 // bandwidth of its link in Mbit/s
+	Cores   float64 // processor cores that it may use
 }
 
 // EntryView is what the traffic workers need to know of the control state. It is immutable.
@@ -122,7 +123,10 @@
 	Config   *EntryConfig // nil until one is known
 	Replicas map[ReplicaSet][]Replica
 	// Shares is the number of VMs among which bounds on sums are divided; at least 1.
-	Shares   int
+	Shares int
+	// Senders are the VMs that send gathered queries; Sends tells whether this VM is one.
+	Senders  []EntryVM
+	Sends    bool
 	Rollouts map[ReplicaSet]Rollout
 	// AsOf is the time at which the oldest of the beliefs was last confirmed.
 	AsOf Time
--- a/peer/relay/relay.go
+++ b/peer/relay/relay.go
@@ -11,8 +11,6 @@
 	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
 	"github.com/gooseberrylock/gooseberrylock/core/directory"
@@ -80,22 +78,8 @@
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}}
 }
 
-// Serve accepts followers until ctx ends.
-func (n *Network) Serve(ctx context.Context, lis net.Listener) error {
-	mux := drpcmux.New()
-	if err := relaypb.DRPCRegisterRelay(mux, &server{n: n}); err != nil {
-		return eris.Wrap(err, "register relay service")
-	}
-	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	err := srv.Serve(ctx, deadline.Listener{Listener: lis, Timeout: writeTimeout})
-	if ctx.Err() != nil {
-		return nil
-	}
-	return eris.Wrap(err, "serve followers")
-}
-
-// Follow opens a stream from a VM. Its end is reported unless Unfollow caused it.
-func (n *Network) Follow(ctx context.Context, vm model.VM, address string) {
+// Start follows a VM. The end of its stream is reported unless Stop caused it.
+func (n *Network) Start(ctx context.Context, vm model.VM, address string) {
 	ctx, cancel := context.WithCancel(ctx)
 	n.mu.Lock()
 	if old, ok := n.follows[vm]; ok {
@@ -112,8 +96,8 @@
 	}()
 }
 
-// Unfollow closes the stream from a VM.
-func (n *Network) Unfollow(vm model.VM) {
+// Stop ends the stream from a VM.
+func (n *Network) Stop(vm model.VM) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if cancel, ok := n.follows[vm]; ok {
@@ -186,17 +170,14 @@
 	}
 }
 
-// server implements the drpc service.
-type server struct{ n *Network }
-
-// Follow implements relaypb.DRPCRelayServer.
-func (s *server) Follow(_ *relaypb.FollowRequest, stream relaypb.DRPCRelay_FollowStream) error {
-	id, f := s.n.join()
+// Follow implements relaypb.DRPCRelayServer: it streams to a VM that follows this one.
+func (n *Network) Follow(_ *relaypb.FollowRequest, stream relaypb.DRPCRelay_FollowStream) error {
+	id, f := n.join()
 	if f == nil {
 		return eris.New("the VM is about to stop")
 	}
-	defer s.n.leave(id)
-	s.n.handler.FollowerJoined(directory.FollowerJoined{Follower: id})
+	defer n.leave(id)
+	n.handler.FollowerJoined(directory.FollowerJoined{Follower: id})
 	for {
 		select {
 		case m := <-f.queue:
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Regenerates the code under api/, platform/objectsapi/ peer/peerpb and peer/relay/relaypb. Needs protoc; the other generators
-# are tools of go.mod.
+# Regenerates the code under api/, platform/objectsapi/ and the *pb packages under peer/. Needs
+# protoc; the other generators are tools of go.mod.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$(mktemp -d)
@@ -13,4 +13,5 @@
 "$bin/ogen" --config platform/ogen.yml --loglevel error --target platform/objectsapi --package objectsapi \
   --clean platform/objects.yaml
 PATH="$bin:$PATH" protoc --go_out=. --go_opt=paths=source_relative \
-  --go-drpc_out=. --go-drpc_opt=paths=source_relative peer/peerpb/peer.proto peer/relay/relaypb/relay.proto
+  --go-drpc_out=. --go-drpc_opt=paths=source_relative peer/peerpb/peer.proto peer/relay/relaypb/relay.proto \
+  peer/forward/forwardpb/forward.proto
