Never send a query from two VMs

A query that a sender may have is no longer sent from here; a late timer of the VM itself does not count as the sender's silence. The order of VMs is computed once a change, not a dozen times an event.

--- a/core/directory/apply.go
+++ b/core/directory/apply.go
@@ -140,6 +140,7 @@
 	if c.Removed || !ok {
 		if _, known := s.vms[c.Name]; known {
 			delete(s.vms, c.Name)
+			s.order = nil
 			s.changed = true
 		}
 		return
@@ -148,5 +149,6 @@
 		return
 	}
 	s.vms[c.Name] = &knownVM{value: *vm, revision: c.Revision, seenAt: now}
+	s.order = nil
 	s.changed = true
 }
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -105,6 +105,7 @@
 	zonesOut map[string]bool
 	rollouts map[string]model.Rollout
 	vms      map[string]*knownVM
+	order    []model.EntryVM // cache of rankedVMs, nil after a change of vms
 
 	upstreams map[model.VM]*upstream
 	lost      map[model.VM]lostVM
--- a/core/directory/peers.go
+++ b/core/directory/peers.go
@@ -29,6 +29,9 @@
 // with the widest links first, since they send each change to all others. Every VM that knows
 // the same VMs finds the same order.
 func (s *State) rankedVMs() []model.EntryVM {
+	if s.order != nil {
+		return s.order
+	}
 	vms := make([]model.EntryVM, 0, len(s.vms))
 	for _, name := range keysOf(s.vms) {
 		vms = append(vms, s.vms[name].value)
@@ -39,6 +42,7 @@
 		}
 		return cmp.Compare(xxhash.Sum64String(string(a.Name)), xxhash.Sum64String(string(b.Name)))
 	})
+	s.order = vms
 	return vms
 }
 
@@ -77,7 +81,7 @@
 }
 
 func (s *State) wantedUpstreams(now model.Time) []model.EntryVM {
-	others := slices.DeleteFunc(s.rankedVMs(), func(vm model.EntryVM) bool { return vm.Name == s.cfg.Self })
+	others := slices.DeleteFunc(slices.Clone(s.rankedVMs()), func(vm model.EntryVM) bool { return vm.Name == s.cfg.Self })
 	if n := min(s.cfg.Readers, len(others)); n > 1 {
 		turn := int(xxhash.Sum64String(string(s.cfg.Self)) % uint64(n))
 		readers := slices.Concat(others[turn:n], others[:turn])
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -11,9 +11,12 @@
 // senders. The others hand their queries to a sender of their zone.
 
 const (
-	// acceptTimeout is how long a sender may take to accept a query before the entry VM sends
-	// it itself. A sender that is paused or cut off does not answer at all.
-	acceptTimeout = 40 * time.Millisecond
+	// acceptTimeout is how long a sender may take to accept a query. A sender that is paused
+	// or cut off does not answer at all.
+	acceptTimeout = 60 * time.Millisecond
+	// ownDelay is how late a timer of this VM may be. A later one means that this VM itself
+	// had no processor, so that the sender's word may be waiting unread.
+	ownDelay = 10 * time.Millisecond
 	// senderLostFor is how long a sender that failed is left out.
 	senderLostFor = 2 * time.Second
 	// senderStaleBy is how much older a sender's beliefs may be than those of the entry VM.
@@ -40,10 +43,12 @@
 		Gathered *Gathered
 		Refusal  *Refuse
 	}
-	// ForwardLost reports that the stream to a sender has ended.
+	// ForwardLost reports that the stream to a sender has ended. Opened tells whether the
+	// sender may have received anything.
 	ForwardLost struct {
-		VM    model.VM
-		Cause string
+		VM     model.VM
+		Opened bool
+		Cause  string
 	}
 	// Forward hands a query to a sender.
 	Forward struct {
@@ -218,18 +223,17 @@
 	s.endQuery(q, now)
 }
 
-// senderLost ends the queries that a lost sender had accepted, since their attempts may have
-// run; the caller may ask again at once. Those that it had not accepted are sent from here.
+// senderLost ends the queries of a lost sender, since their attempts may have run; the caller
+// may ask again at once. If nothing can have reached the sender, they are sent from here.
 func (s *State) senderLost(ev ForwardLost, now model.Time) {
 	s.senderOf(ev.VM).lostUntil = now.Add(senderLostFor)
 	for _, q := range s.sortedQueries() {
 		if q.ended || q.sender != ev.VM {
 			continue
 		}
-		accepted := q.acceptBy == noWake
-		s.note(Info, "sender is lost", q, Field{"peer", ev.VM}, Field{"cause", ev.Cause}, Field{"accepted", accepted})
+		s.note(Info, "sender is lost", q, Field{"peer", ev.VM}, Field{"cause", ev.Cause}, Field{"opened", ev.Opened})
 		s.takeBack(q)
-		if accepted {
+		if ev.Opened {
 			s.refuse(q, CodeFailed, "the sender was lost", now)
 			continue
 		}
@@ -244,14 +248,23 @@
 		s.emit(CancelForward{Query: q.id, VM: q.sender})
 		s.takeBack(q)
 		s.refuse(q, CodeTimeout, "the sender did not answer in time", now)
+	case now >= q.acceptBy.Add(ownDelay):
+		q.acceptBy = now.Add(acceptTimeout)
+		s.setWake(q, min(q.acceptBy, q.deadline))
 	case now >= q.acceptBy:
-		s.emit(CancelForward{Query: q.id, VM: q.sender})
-		s.senderOf(q.sender).lostUntil = now.Add(senderLostFor)
-		s.note(Info, "sender did not accept in time", q, Field{"peer", q.sender})
-		s.emit(SuspectSender{VM: q.sender})
-		s.takeBack(q)
-		s.sendSelf(q, now)
+		s.senderSilent(q, now)
 	default:
 		s.setWake(q, min(q.acceptBy, q.deadline))
 	}
 }
+
+// senderSilent ends a query that a sender did not accept in time. The sender may still run it,
+// so that it must not be sent from here too.
+func (s *State) senderSilent(q *query, now model.Time) {
+	s.emit(CancelForward{Query: q.id, VM: q.sender})
+	s.emit(SuspectSender{VM: q.sender})
+	s.senderOf(q.sender).lostUntil = now.Add(senderLostFor)
+	s.note(Info, "sender did not accept in time", q, Field{"peer", q.sender})
+	s.takeBack(q)
+	s.refuse(q, CodeFailed, "the sender did not accept in time", now)
+}
--- a/peer/forward/forward.go
+++ b/peer/forward/forward.go
@@ -95,29 +95,30 @@
 	s.heardAt.Store(time.Now().UnixNano())
 	n.senders[vm] = s
 	go func() {
-		err := n.run(ctx, s, address)
+		opened, err := n.run(ctx, s, address)
 		cancel()
 		n.mu.Lock()
 		delete(n.senders, vm)
 		n.mu.Unlock()
-		n.handler.Event(dispatch.ForwardLost{VM: vm, Cause: err.Error()})
+		n.handler.Event(dispatch.ForwardLost{VM: vm, Opened: opened, Cause: err.Error()})
 	}()
 	return s
 }
 
-// run carries queries and answers until the stream ends.
-func (n *Network) run(ctx context.Context, s *sender, address string) error {
+// run carries queries and answers until the stream ends. It reports whether anything can have
+// reached the sender.
+func (n *Network) run(ctx context.Context, s *sender, address string) (opened bool, err error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := (&net.Dialer{}).DialContext(dialCtx, "tcp", address)
 	if err != nil {
-		return eris.Wrapf(err, "dial VM %s", s.vm)
+		return false, eris.Wrapf(err, "dial VM %s", s.vm)
 	}
 	conn := drpcconn.New(deadline.Conn{Conn: raw, Timeout: writeTimeout})
 	defer func() { _ = conn.Close() }() // a stream that has ended has nothing to lose
 	stream, err := forwardpb.NewDRPCForwardClient(conn).Queries(ctx)
 	if err != nil {
-		return eris.Wrapf(err, "open a stream to VM %s", s.vm)
+		return true, eris.Wrapf(err, "open a stream to VM %s", s.vm)
 	}
 	received := make(chan error, 1)
 	go func() { received <- n.receive(stream, s) }()
@@ -125,12 +126,12 @@
 		select {
 		case q := <-s.queue:
 			if err := stream.Send(q); err != nil {
-				return eris.Wrapf(err, "send to VM %s", s.vm)
+				return true, eris.Wrapf(err, "send to VM %s", s.vm)
 			}
 		case err := <-received:
-			return err
+			return true, err
 		case <-ctx.Done():
-			return eris.Errorf("VM %s is silent", s.vm)
+			return true, eris.Errorf("VM %s is silent", s.vm)
 		}
 	}
 }
