Hedge after two medians at the latest; list once when history is gone

Cause of thin answers: at the cut-off 58 of 100 missing parts had one attempt and no hedge, since pauses alone are 4% of the attempts and lift the 95th percentile. Test: TestListsOnceWhenTheHistoryIsGone failed before.

--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -324,3 +324,14 @@
 	}
 	is.True(names["main"] && names["s1"] && names["vm1"])
 }
+
+// Guards against listing a kind without end after the history is gone: a list that brings
+// nothing new ends it too.
+func TestListsOnceWhenTheHistoryIsGone(t *testing.T) {
+	is := is.New(t)
+	w := started("vm1")
+	is.Equal(count[List](w.do(HistoryGone{Kind: KindConfig})), 1)
+	effects := w.do(Listed{Kind: KindConfig, Revision: 5, Changes: []Change{config(3, 4)}})
+	is.Equal(count[List](effects), 0)
+	is.Equal(count[Watch](effects), 1)
+}
--- a/core/directory/reads.go
+++ b/core/directory/reads.go
@@ -22,6 +22,7 @@
 		if ev.Kind == KindVMs {
 			s.vmLists++
 		}
+		s.reads[ev.Kind].list = s.cfg.Waits[ev.Kind] == 0
 		s.storeAnswered(ev.Kind, now)
 		s.take(Update{Kind: ev.Kind, Full: true, Revision: ev.Revision, Changes: ev.Changes}, now)
 		s.scheduleNext(ev.Kind, false, now)
@@ -170,7 +171,7 @@
 	changes := u.Changes
 	if u.Full {
 		r.gap = false
-		r.list = s.cfg.Waits[u.Kind] == 0
+		r.list = s.cfg.Waits[u.Kind] == 0 // also when the list came from another VM
 		changes = append(s.missing(u), changes...)
 	}
 	s.changed = s.changed || r.revision == 0
--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -75,3 +75,16 @@
 	l.median = time.Duration(merged.ValueAtQuantile(50)) * latencyUnit
 	l.high = time.Duration(merged.ValueAtQuantile(highQuantile)) * latencyUnit
 }
+
+const (
+	// hedgeMedians is the number of medians after which an attempt is late.
+	hedgeMedians = 2
+	// minHedge keeps hedges from chasing the noise of very fast routes.
+	minHedge = 4 * time.Millisecond
+)
+
+// hedgeAfter returns how long an attempt may take before another server is asked too. The
+// 95th percentile alone comes too late where pauses make up five in a hundred attempts.
+func (l *latencies) hedgeAfter() time.Duration {
+	return max(min(l.high, hedgeMedians*l.median), minHedge)
+}
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -17,8 +17,6 @@
 	// lingerFor is how long attempts may go on after their query has been answered, so that
 	// the server's work and the connection are not lost.
 	lingerFor = time.Second
-	// minHedge keeps hedges from chasing the noise of very fast routes.
-	minHedge = 4 * time.Millisecond
 	// defaultPatience stands in where neither the caller nor the route states a deadline.
 	defaultPatience = 10 * time.Second
 	// retryAfter is when a caller of a request that was not run should come back.
@@ -166,7 +164,7 @@
 	sh.running = append(sh.running, a)
 	sh.hedgeAt = noWake
 	if q.route.Idempotent && len(sh.tried)+len(sh.running) < q.route.MaxAttempts {
-		sh.hedgeAt = now.Add(max(q.latency.high, minHedge))
+		sh.hedgeAt = now.Add(q.latency.hedgeAfter())
 	}
 	s.count(CountAttempts)
 	s.emit(Send{Attempt: a.id, Query: q.id, Server: *r, Deadline: q.patience})
