--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -114,6 +114,8 @@
 	q.acceptBy = now.Add(acceptTimeout)
 	s.senderOf(to.Name).running++
 	s.count(CountForwarded)
+	s.note(Info, "handed to a sender", q, Field{"peer", to.Name}, Field{"config", s.view.Config.Version},
+		Field{"age", age}, Field{"running", s.senderOf(to.Name).running})
 	s.emit(Forward{
 		Query: q.id, VM: to.Name, Address: to.Address, Version: max(s.view.Config.Version, s.seenVersion),
 		Age: age, Left: q.patience.Sub(now),
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -38,7 +38,6 @@
 	answered int  // shards that are in
 	open     int  // shards that are neither in nor given up
 	mayRun   bool // a server may have run the request
-	hedged   bool
 	ended    bool
 
 	sender   model.VM   // that has the query, or ""
@@ -361,7 +360,7 @@
 func (s *State) hedge(q *query, i int, now model.Time) {
 	sh := &q.shards[i]
 	sh.hedgeAt = noWake
-	if now >= q.stopAt {
+	if now >= q.stopAt || len(sh.running) == 0 {
 		return
 	}
 	r := s.pick(q, sh, now)
@@ -378,10 +377,14 @@
 	}
 	if !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.burst(q.route), true) {
 		s.count(CountBudgetEmpty)
+		sh.cause = "no hedge, the retry budget is used up;"
+		s.note(Info, "no hedge", q, Field{"set", sh.set}, Field{"cause", "retry budget is used up"},
+			Field{"burst", s.burst(q.route)})
 		return
 	}
-	q.hedged = true
 	s.count(CountHedges)
+	s.note(Info, "hedge", q, Field{"set", sh.set}, Field{"server", r.ID}, Field{"waited", now.Sub(sh.running[0].sent)},
+		Field{"expected", wait}, Field{"median", q.latency.median})
 	s.send(q, i, r, true, now)
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -120,7 +120,8 @@
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exitError{code: ExitUsage, err: err} })
 	cmd.AddCommand(a.applyCommand(), a.getCommand(), a.diffCommand(), a.pauseCommand(), a.resumeCommand(),
 		a.zoneCommand(), a.movesCommand(), a.statusCommand(), a.searchCommand(), a.readCommand(),
-		a.submitCommand(), a.loadCommand(), a.replayCommand(), a.demoCommand(), a.checkCommand(), a.standinCommand())
+		a.submitCommand(), a.loadCommand(), a.replayCommand(), a.demoCommand(), a.checkCommand(), a.standinCommand(),
+		a.explainCommand())
 	return cmd
 }
 
