--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -65,7 +65,7 @@
 		Gather:           100 * time.Millisecond,
 		RegisterInterval: time.Minute,
 		VMTimeout:        3 * time.Minute,
-		Readers:          3,
+		Readers:          2,
 		Upstreams:        2,
 		FollowGrace:      1200 * time.Millisecond,
 		ReaderGrace:      600 * time.Millisecond,
--- /dev/null
+++ b/soak/report.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"image/color"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// report is what a run leaves beside the logs.
+type report struct {
+	Seed     uint64         `json:"seed"`
+	Duration string         `json:"duration"`
+	VMs      int            `json:"vms"`
+	Requests int            `json:"requests"`
+	Outcomes map[string]int `json:"outcomes"`
+	Faults   []string       `json:"faults"`
+	Broken   []string       `json:"broken"`
+}
+
+func writeReport(o options, h *history) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := report{Seed: o.seed, Duration: o.duration.String(), VMs: o.vms, Requests: len(h.senders), Outcomes: make(map[string]int), Broken: h.broken}
+	for kind, counts := range h.counts {
+		for _, n := range counts {
+			r.Outcomes[kind] += n
+		}
+	}
+	for _, f := range h.faults {
+		r.Faults = append(r.Faults, fmt.Sprintf("%s: %.1f s to %.1f s", f.name, f.from.Seconds(), f.to.Seconds()))
+	}
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(o.dir, "report.json"), data, 0o644); err != nil {
+		return err
+	}
+	return drawOutcomes(h, filepath.Join(o.dir, "outcomes.png"))
+}
+
+var outcomeColors = map[string]color.Color{
+	outcomeServed:  color.RGBA{G: 140, A: 255},
+	outcomeThin:    color.RGBA{R: 200, G: 160, A: 255},
+	outcomeRefused: color.RGBA{B: 200, A: 255},
+	outcomeFailed:  color.RGBA{R: 200, A: 255},
+	outcomeCut:     color.RGBA{R: 120, B: 120, A: 255},
+}
+
+// drawOutcomes draws the outcomes by second, with a line below for each fault.
+func drawOutcomes(h *history, path string) error {
+	p := plot.New()
+	p.Title.Text = "Outcomes a second; below: faults"
+	p.X.Label.Text = "seconds"
+	names := make([]string, 0, len(h.counts))
+	for kind := range h.counts {
+		names = append(names, kind)
+	}
+	slices.Sort(names)
+	for _, kind := range names {
+		var points plotter.XYs
+		for second, n := range h.counts[kind] {
+			points = append(points, plotter.XY{X: float64(second), Y: float64(n)})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color = outcomeColors[kind]
+		p.Add(line)
+		p.Legend.Add(kind, line)
+	}
+	const lanes = 12
+	for i, f := range h.faults {
+		y := -3 * float64(1+i%lanes)
+		line, err := plotter.NewLine(plotter.XYs{{X: f.from.Seconds(), Y: y}, {X: f.to.Seconds(), Y: y}})
+		if err != nil {
+			return err
+		}
+		p.Add(line)
+	}
+	return p.Save(10*vg.Inch, 5*vg.Inch, path)
+}
