Leave out servers whose address another one has; watch the VMs

An address that answered 421 is not used again until the entry names another one. Tests: TestAddressOfAnotherServer, TestStaysWithinConnections, TestLateVMIsKnown.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -13,10 +13,8 @@
 type Config struct {
 	Self model.VM
 	// Waits is how long a watch of each kind may wait. With the timeout of the reader it
-	// bounds how long a dead watch goes unnoticed. 0 means that the kind is listed every
-	// ListInterval instead.
-	Waits        [5]time.Duration // by Kind
-	ListInterval time.Duration
+	// bounds how long a dead watch goes unnoticed.
+	Waits [KindCount]time.Duration
 	// Gather is how long after an answer the next watch of replicas starts, so that one read
 	// brings several changes.
 	Gather time.Duration
@@ -55,13 +53,13 @@
 func DefaultConfig(self model.VM) Config {
 	return Config{
 		Self: self,
-		Waits: [5]time.Duration{
+		Waits: [KindCount]time.Duration{
 			KindConfig:   1200 * time.Millisecond,
 			KindReplicas: 1500 * time.Millisecond,
 			KindZonesOut: 2500 * time.Millisecond,
 			KindRollouts: 2500 * time.Millisecond,
+			KindVMs:      5 * time.Second,
 		},
-		ListInterval:     20 * time.Second,
 		Gather:           100 * time.Millisecond,
 		RegisterInterval: time.Minute,
 		VMTimeout:        3 * time.Minute,
@@ -87,7 +85,7 @@
 		return errors.New("directory: the name of the VM is empty")
 	case c.RetryMin <= 0 || c.RetryMax < c.RetryMin:
 		return errors.New("directory: the pauses after a failed read are out of order")
-	case c.ListInterval <= 0 || c.RegisterInterval <= 0 || c.SpreadInterval <= 0:
+	case c.RegisterInterval <= 0 || c.SpreadInterval <= 0:
 		return errors.New("directory: an interval is not positive")
 	case c.Readers < 1 || c.Upstreams < 0:
 		return errors.New("directory: the number of readers or of followed VMs is out of range")
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -335,3 +335,26 @@
 	is.Equal(count[List](effects), 0)
 	is.Equal(count[Watch](effects), 1)
 }
+
+// Guards against shares of a bound that are taken from an incomplete list of the VMs: one that
+// registers later is known at once.
+func TestLateVMIsKnown(t *testing.T) {
+	is := is.New(t)
+	w := newWorld("vm1")
+	w.do(Started{})
+	w.do(Listed{Kind: KindVMs, Revision: 1, Changes: []Change{vmEntry("vm1")}})
+	w.wait(time.Second)
+	effects := w.do(Listed{Kind: KindVMs, Revision: 1, Changes: []Change{vmEntry("vm1")}})
+	watches := 0
+	for _, e := range effects {
+		if watch, ok := e.(Watch); ok && watch.Kind == KindVMs {
+			watches++
+		}
+	}
+	is.Equal(watches, 1)
+	late := vmEntry("vm2")
+	late.Revision = 7
+	w.do(Changed{Kind: KindVMs, Revision: 7, Changes: []Change{late}})
+	is.Equal(w.view.Shares, 2)
+	is.Equal(len(w.view.Senders), 2)
+}
--- a/core/directory/reads.go
+++ b/core/directory/reads.go
@@ -22,7 +22,7 @@
 		if ev.Kind == KindVMs {
 			s.vmLists++
 		}
-		s.reads[ev.Kind].list = s.cfg.Waits[ev.Kind] == 0
+		s.reads[ev.Kind].list = ev.Kind == KindVMs && s.vmLists < startLists
 		s.storeAnswered(ev.Kind, now)
 		s.take(Update{Kind: ev.Kind, Full: true, Revision: ev.Revision, Changes: ev.Changes}, now)
 		s.scheduleNext(ev.Kind, false, now)
@@ -88,8 +88,6 @@
 	switch {
 	case k == KindVMs && s.vmLists < startLists:
 		r.dueAt = s.startedAt.Add(s.cfg.ReaderGrace)
-	case s.cfg.Waits[k] == 0:
-		r.dueAt = now.Add(s.cfg.ListInterval)
 	case gather && k == KindReplicas:
 		r.dueAt = now.Add(s.cfg.Gather)
 	}
@@ -124,11 +122,7 @@
 	if r.revision == 0 {
 		return s.startedAt.Add(s.cfg.FollowGrace)
 	}
-	wait := s.cfg.Waits[k]
-	if wait == 0 {
-		wait = s.cfg.ListInterval
-	}
-	return r.okAt.Add(wait + s.cfg.FreshFor)
+	return r.okAt.Add(s.cfg.Waits[k] + s.cfg.FreshFor)
 }
 
 // isReader reports whether this VM reads the store for others. At its start it waits until the
@@ -171,7 +165,7 @@
 	changes := u.Changes
 	if u.Full {
 		r.gap = false
-		r.list = s.cfg.Waits[u.Kind] == 0 // also when the list came from another VM
+		r.list = r.list && u.Kind == KindVMs && s.vmLists < startLists // a VM may have sent it
 		changes = append(s.missing(u), changes...)
 	}
 	s.changed = s.changed || r.revision == 0
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -322,3 +322,36 @@
 	is.Equal(counts["a"], 30)
 	is.Equal(counts["b"], 10)
 }
+
+// Guards against more connections to a server than it takes, which it resets, and against
+// giving a request up that could run a moment later.
+func TestStaysWithinConnections(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, single(true))
+	w.servers("files", 1)
+	w.view.Shares = 4
+	w.view.Config.Sets = map[model.ReplicaSet]model.SetConfig{"files": {MaxConns: 10}}
+	for range 3 {
+		w.request("/r/q")
+	}
+	is.Equal(len(w.sends), 2) // 0.8 x 10 / 4
+	w.reply(w.sends[0], "x")
+	w.wait(busyPause)
+	is.Equal(len(w.sends), 3)
+	is.Equal(w.sends[2].Query, model.QueryID(3))
+}
+
+// Guards against sending on to an address that another server has taken over: each such
+// request also counts as a repeat at that server's set.
+func TestAddressOfAnotherServer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, single(true))
+	w.servers("files", 1)
+	w.view.Replicas["files"][0].Address = "10.0.0.1:80"
+	w.request("/r/q")
+	w.fail(w.sends[0], Misdirected)
+	w.now = w.now.Add(5 * time.Second)
+	is.Equal(only[Refuse](t, w.request("/r/q")).Code, CodeNotRun)
+	w.view.Replicas["files"][0].Address = "10.0.0.2:80" // it has moved
+	is.True(has[Send](w.request("/r/q")))
+}
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -63,17 +63,22 @@
 	NotSent
 	// NotRun means that the server states that it did not run the request.
 	NotRun
+	// Misdirected means that another server has the address; the request was not run.
+	Misdirected
 	// Unclear means that the request may have run and no usable answer came.
 	Unclear
 	// Aborted means that the attempt was ended by Abort.
 	Aborted
 )
 
-var outcomeNames = [...]string{"answered", "not sent", "not run", "unclear", "aborted"}
+var outcomeNames = [...]string{"answered", "not sent", "not run", "misdirected", "unclear", "aborted"}
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// notRun reports whether the request has certainly not run.
+func (o Outcome) notRun() bool { return o == NotSent || o == NotRun || o == Misdirected }
+
 // Reply is a backend server's answer.
 type Reply struct {
 	Status    int
@@ -207,6 +212,7 @@
 	CountAnswered
 	CountAttemptNotSent
 	CountAttemptNotRun
+	CountAttemptMisdirected
 	CountAttemptUnclear
 	CountLateReplies
 	CountForwarded
@@ -217,7 +223,7 @@
 	"requests", "answers.complete", "answers.partial", "answers.passed",
 	"refusals.not_run", "refusals.failed", "refusals.timeout", "refusals.no_route", "callers.gone",
 	"attempts", "attempts.hedges", "attempts.retries", "retry_budget.empty",
-	"attempts.answered", "attempts.not_sent", "attempts.not_run", "attempts.unclear", "attempts.late_replies", "queries.forwarded",
+	"attempts.answered", "attempts.not_sent", "attempts.not_run", "attempts.misdirected", "attempts.unclear", "attempts.late_replies", "queries.forwarded",
 }
 
 // String returns the name of the counter in the metrics.
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/model"
@@ -135,16 +136,54 @@
 	q.open = len(sets)
 }
 
-// start sends the first attempt of a shard, or gives the shard up if no server is known.
+// start sends the first attempt of a shard. It gives the shard up if no server is known, and
+// tries again soon if no server has room for a connection of this VM.
 func (s *State) start(q *query, i int, now model.Time) {
 	sh := &q.shards[i]
-	r := s.pick(q, sh, now)
-	if r == nil {
-		sh.cause = "no server is known"
-		s.giveUp(q, sh)
+	if r := s.pick(q, sh, now); r != nil {
+		s.send(q, i, r, false, now)
 		return
 	}
-	s.send(q, i, r, false, now)
+	if s.anyUsable(sh.set) {
+		sh.cause = "no server has room for a connection;"
+		sh.hedgeAt = now.Add(busyPause)
+		return
+	}
+	sh.cause = "no server is known"
+	s.giveUp(q, sh)
+}
+
+// anyUsable reports whether a set has a server whose address is its own.
+func (s *State) anyUsable(set model.ReplicaSet) bool {
+	replicas := s.view.Replicas[set]
+	for i := range replicas {
+		if s.serverOf(&replicas[i]).lostAddress != replicas[i].Address {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// busyPause is the time after which a shard whose servers have no room is tried again.
+	busyPause = 10 * time.Millisecond
+	// connsInUse is the part of a server's connections that the VMs share; the rest is for
+	// those that are being closed.
+	connsInUse = 0.8
+)
+
+// maxRunning returns how many attempts this VM may have running at one server of a set, so
+// that all VMs together stay within its connections: it resets those beyond.
+func (s *State) maxRunning(r *route, set model.ReplicaSet) int {
+	conns := s.view.Config.Sets[set].MaxConns
+	if conns <= 0 {
+		return math.MaxInt
+	}
+	sharers := s.view.Shares
+	if r.Gathers() {
+		sharers = len(s.view.Senders)
+	}
+	return max(int(connsInUse*float64(conns)/float64(max(sharers, 1))), 1)
 }
 
 func (s *State) giveUp(q *query, sh *shard) {
@@ -223,6 +262,9 @@
 		a.stats.answeredAt = now
 		a.stats.observeFailure(true, now)
 		a.stats.avoidUntil = now.Add(refusedFor)
+	case Misdirected:
+		s.count(CountAttemptMisdirected)
+		a.stats.lostAddress = a.server.Address
 	case Unclear:
 		s.count(CountAttemptUnclear)
 		a.stats.observeFailure(true, now)
@@ -279,7 +321,7 @@
 // only if it is idempotent; one that reached no server is repeated without cost.
 func (s *State) repeat(q *query, a *attempt, outcome Outcome, now model.Time) bool {
 	sh := &q.shards[a.shard]
-	if outcome != NotSent && outcome != NotRun && !q.route.Idempotent {
+	if !outcome.notRun() && !q.route.Idempotent {
 		return false
 	}
 	if len(sh.running) > 0 || now >= q.deadline {
@@ -348,7 +390,12 @@
 		return
 	}
 	for i := range q.shards {
-		if q.shards[i].hedgeAt <= now && !q.shards[i].done {
+		switch sh := &q.shards[i]; {
+		case sh.hedgeAt > now || sh.done:
+		case len(sh.running)+len(sh.tried) == 0:
+			sh.hedgeAt = noWake
+			s.start(q, i, now)
+		default:
 			s.hedge(q, i, now)
 		}
 	}
@@ -398,6 +445,7 @@
 	replicas := s.view.Replicas[sh.set]
 	var best *model.Replica
 	var bestWait time.Duration
+	most := s.maxRunning(q.route, sh.set)
 	start := 0
 	if len(replicas) > 1 {
 		start = s.rng.IntN(len(replicas))
@@ -407,7 +455,11 @@
 		if sh.used(r.ID) {
 			continue
 		}
-		wait := s.serverOf(r).expectedWait(r, q.latency, now)
+		srv := s.serverOf(r)
+		if len(srv.running) >= most || srv.lostAddress == r.Address {
+			continue
+		}
+		wait := srv.expectedWait(r, q.latency, now)
 		if best == nil || wait < bestWait {
 			best, bestWait = r, wait
 		}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -52,18 +52,24 @@
 	failures   float64    // recent share of attempts that failed
 	failedAt   model.Time
 	avoidUntil model.Time
-	answeredAt model.Time // last answer of any kind
-	rank       float64    // fixed preference of this VM among servers, in [0, 1)
+	// lostAddress is an address that another server has taken over; "none" until one has.
+	lostAddress string
+	answeredAt  model.Time // last answer of any kind
+	rank        float64    // fixed preference of this VM among servers, in [0, 1)
 }
 
 func newServer(self model.VM, id model.BackendServerID) *server {
 	return &server{
-		running:  make(map[model.AttemptID]model.Time),
-		slowness: 1,
-		rank:     rank(self, string(id)),
+		running:     make(map[model.AttemptID]model.Time),
+		slowness:    1,
+		lostAddress: noAddress,
+		rank:        rank(self, string(id)),
 	}
 }
 
+// noAddress is no server's address.
+const noAddress = "none"
+
 // rank is a fixed preference of a VM among named things, in [0, 1).
 func rank(self model.VM, name string) float64 {
 	h := xxhash.Sum64String(string(self) + "\x00" + name)
