--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -99,7 +99,7 @@
 var beliefMessages = map[string]string{
 	"configuration is in force": "", "store does not answer": "", "store is back": "",
 	"entries may have lapsed while the store was away": "",
-	"server": "server", "server is gone": "server", "followed VM is lost": "peer",
+	"zone": "", "server": "server", "server is gone": "server", "followed VM is lost": "peer",
 }
 
 func (a *app) explain(id string, lines []logLine) error {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -102,13 +102,13 @@
 	sent := time.Now()
 	resp, err := c.http.RoundTrip(req)
 	if err != nil {
-		c.cut(ctx, id, sent, err)
+		c.cut(ctx, id, incarnation, sent, err)
 		return
 	}
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	if err != nil {
-		c.cut(ctx, id, sent, err)
+		c.cut(ctx, id, incarnation, sent, err)
 		return
 	}
 	if took := time.Since(sent); took > routeTimeout+lateSlack && c.d.calm(time.Now()) {
@@ -139,7 +139,7 @@
 
 // cut handles a request without a whole answer. A process that is stopped gracefully must not
 // cut those that it has accepted a connection for.
-func (c *caller) cut(ctx context.Context, id string, sent time.Time, err error) {
+func (c *caller) cut(ctx context.Context, id string, incarnation int, sent time.Time, err error) {
 	if ctx.Err() != nil {
 		return // the soak is over
 	}
@@ -148,11 +148,11 @@
 		return
 	}
 	c.d.mu.Lock()
-	terms := slices.Clone(c.d.terms)
-	only := len(terms) > 0 && !c.d.disturbed.After(terms[len(terms)-1])
+	term, stopping := c.d.terms[incarnation]
+	only := !c.d.disturbed.After(term)
 	c.d.mu.Unlock()
-	if only && sent.After(terms[len(terms)-1]) && sent.Sub(terms[len(terms)-1]) < cutWindow {
-		c.note("LOST", "request %s, sent %s after SIGTERM, was cut: %v", id, sent.Sub(terms[len(terms)-1]), err)
+	if stopping && only && sent.After(term) && sent.Sub(term) < cutWindow {
+		c.note("LOST", "request %s, sent %s after SIGTERM, was cut: %v", id, sent.Sub(term), err)
 	}
 }
 
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -36,8 +36,8 @@
 	mu          sync.Mutex
 	cmd         *exec.Cmd
 	incarnation int
-	disturbed   time.Time // last moment at which a fault was on
-	terms       []time.Time
+	disturbed   time.Time         // last moment at which a fault was on
+	terms       map[int]time.Time // first SIGTERM of each incarnation
 	ends        []end
 }
 
@@ -123,8 +123,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.disturbed = time.Now()
-	if sig == syscall.SIGTERM {
-		d.terms = append(d.terms, time.Now())
+	if _, ok := d.terms[d.incarnation]; !ok && sig == syscall.SIGTERM {
+		d.terms[d.incarnation] = time.Now()
 	}
 	_ = d.cmd.Process.Signal(sig) // a process that has just ended is restarted anyway
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -83,7 +83,7 @@
 		if err != nil {
 			return nil, err
 		}
-		d := &daemon{name: fmt.Sprintf("vm%d", i+1), ip: ip, dir: dir, binary: binary, store: store}
+		d := &daemon{name: fmt.Sprintf("vm%d", i+1), ip: ip, dir: dir, binary: binary, store: store, terms: make(map[int]time.Time)}
 		if err := d.start(); err != nil {
 			return nil, err
 		}
