Write log lines through a queue of our own; fail a soak whose addresses are taken

The race detector found that log.AsyncWriter reads a line's buffer after it gave it away (TestStop, TestBadAnswersOfServers with -race). A soak now fails at its start if its addresses are taken, and starts no process after its end.

--- a/entry/control.go
+++ b/entry/control.go
@@ -63,6 +63,7 @@
 	case directory.Publish:
 		t.view.Store(e.View)
 		t.meters.view(e.View)
+		t.meters.discarded.Update(t.log.Discarded())
 		select {
 		case t.inbox <- dispatch.ViewPublished{View: e.View}:
 		case <-ctx.Done():
--- a/entry/log.go
+++ b/entry/log.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -19,31 +21,78 @@
 	logQueue = 4096
 )
 
+// Discarded returns the number of lines that could not be written.
+func (l *Log) Discarded() int64 { return l.lines.discarded.Load() }
+
 // Log writes one JSON object a line. It never blocks: lines above the rate, and lines for
 // which a slow reader leaves no room, are omitted.
 type Log struct {
 	*log.Logger
 	limiter *loglimit.Limiter
-	writer  *log.AsyncWriter
+	lines   *lineWriter
+}
+
+// lineWriter passes lines on to a writer that may be slow, and discards those for which there
+// is no room. log.AsyncWriter does the same but reads a line's buffer after it has given it away.
+type lineWriter struct {
+	queue     chan []byte
+	pending   atomic.Int64 // lines that are not written yet
+	discarded atomic.Int64
+}
+
+func newLineWriter(w io.Writer) *lineWriter {
+	l := &lineWriter{queue: make(chan []byte, logQueue)}
+	go func() {
+		for line := range l.queue {
+			if _, err := w.Write(line); err != nil {
+				l.discarded.Add(1)
+			}
+			l.pending.Add(-1)
+		}
+	}()
+	return l
+}
+
+// Write implements io.Writer. It never blocks.
+func (l *lineWriter) Write(p []byte) (int, error) {
+	l.pending.Add(1)
+	select {
+	case l.queue <- bytes.Clone(p):
+	default:
+		l.pending.Add(-1)
+		l.discarded.Add(1)
+	}
+	return len(p), nil
 }
 
 // NewLog returns a log to w.
 func NewLog(w io.Writer, vm model.VM) *Log {
-	async := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: w}}
+	lines := newLineWriter(w)
 	return &Log{
 		Logger: &log.Logger{
 			Level:      log.InfoLevel,
 			TimeFormat: time.RFC3339Nano,
-			Writer:     async,
+			Writer:     &log.IOWriter{Writer: lines},
 			Context:    log.NewContext(nil).Str("vm", string(vm)).Value(),
 		},
 		limiter: loglimit.New(logRate, logBurst),
-		writer:  async,
+		lines:   lines,
 	}
 }
 
-// Close writes what is waiting.
-func (l *Log) Close() error { return l.writer.Close() }
+const (
+	// flushTimeout bounds how long a slow reader may hold up the end of the process.
+	flushTimeout = 200 * time.Millisecond
+	flushPoll    = 5 * time.Millisecond
+)
+
+// Flush waits until the lines so far are written, or its reader is too slow.
+func (l *Log) Flush() {
+	end := time.Now().Add(flushTimeout)
+	for l.lines.pending.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(flushPoll)
+	}
+}
 
 // Write takes the lines of the standard library's logger.
 func (l *Log) Write(p []byte) (int, error) {
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -25,6 +25,7 @@
 	config     metrics.Gauge
 	replicas   metrics.Gauge
 	shares     metrics.Gauge
+	discarded  metrics.Gauge
 }
 
 // NewMeters returns metrics that are all zero.
@@ -36,6 +37,7 @@
 		config:     metrics.NewRegisteredGauge("config.version", r),
 		replicas:   metrics.NewRegisteredGauge("backend_servers", r),
 		shares:     metrics.NewRegisteredGauge("vms", r),
+		discarded:  metrics.NewRegisteredGauge("log.lines_discarded", r),
 	}
 	for _, c := range dispatch.Counters() {
 		m.counters = append(m.counters, metrics.NewRegisteredCounter(c.String(), r))
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -91,6 +92,9 @@
 	cmd.Stdout, cmd.Stderr = d.log, d.log
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.stopped {
+		return errors.New("the soak is over")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -113,7 +117,7 @@
 		}
 		time.Sleep(restartAfter)
 		if err := d.spawn(path); err != nil {
-			return // the checks see a daemon that does not answer
+			return // the soak is over, or the checks see a daemon that does not answer
 		}
 	}
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -79,6 +80,9 @@
 	w.changeConfig()
 	for i := range vms {
 		ip := fmt.Sprintf("127.0.%d.%d", 10+seed%200, i+1)
+		if err := addressFree(ip); err != nil {
+			return nil, err
+		}
 		store, err := newProxy(ip+":0", w.store.Address())
 		if err != nil {
 			return nil, err
@@ -92,6 +96,16 @@
 	return w, nil
 }
 
+// addressFree fails if another soak with the same seed runs: its callers would meet this one's
+// daemons.
+func addressFree(ip string) error {
+	lis, err := net.Listen("tcp", net.JoinHostPort(ip, fmt.Sprint(callerPort)))
+	if err != nil {
+		return fmt.Errorf("does another soak of this seed run? %w", err)
+	}
+	return lis.Close()
+}
+
 func (w *world) close() {
 	for _, d := range w.daemons {
 		d.stop()
