--- a/cmd/gooseberrylockd/main.go
+++ b/cmd/gooseberrylockd/main.go
@@ -40,7 +40,7 @@
 
 // platformCommand runs an entry VM on the users' platform.
 func platformCommand() *cobra.Command {
-	var file string
+	var file, traces string
 	cmd := &cobra.Command{
 		Use:   "platform [--settings FILE]",
 		Short: "Run an entry VM on the users' platform",
@@ -52,11 +52,12 @@
 			if file == "" {
 				return fmt.Errorf("no settings file: set --settings or %s", platform.SettingsVariable)
 			}
-			return platform.Run(file, os.Stdout)
+			return platform.Run(file, traces, os.Stdout)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", os.Getenv(platform.SettingsVariable),
 		"the platform's settings file; its default is in "+platform.SettingsVariable)
+	cmd.Flags().StringVar(&traces, "traces", "", "export traces of one request in 100 over OTLP to this host:port")
 	return cmd
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	Zone   model.AvailabilityZone
 	Seed   uint64
 	Budget BudgetConfig
+	Cold   ColdConfig
 }
 
 // Validate reports the first setting that is out of its range.
@@ -26,6 +27,8 @@
 		return errors.New("dispatch: the name of the VM is empty")
 	case c.Budget.Ratio < 0 || c.Budget.Burst < 0:
 		return errors.New("dispatch: the retry budget is negative")
+	case c.Cold.Factor < 0 || c.Cold.Slack < 0:
+		return errors.New("dispatch: the bound for cold servers is negative")
 	case c.Budget.Window < budgetSlot:
 		return errors.New("dispatch: the window of the retry budget is too short")
 	}
@@ -115,7 +118,7 @@
 
 // publish replaces the view. What was seen of servers that are gone is forgotten once no
 // attempt runs on them.
-func (s *State) publish(view *model.EntryView, _ model.Time) {
+func (s *State) publish(view *model.EntryView, now model.Time) {
 	if view.Config != s.view.Config {
 		s.routes = newTable(view.Config)
 	}
@@ -124,6 +127,7 @@
 	for _, replicas := range view.Replicas {
 		for i := range replicas {
 			known[keyOf(&replicas[i])] = true
+			s.serverOf(&replicas[i]).cold.observeRegistration(&replicas[i], now)
 		}
 	}
 	for k, srv := range s.servers {
@@ -164,13 +168,10 @@
 // burst returns this VM's part of the burst of a retry budget. Only senders repeat attempts
 // of gathered queries beyond the ratio.
 func (s *State) burst(r *route) float64 {
-	switch {
-	case !r.Gathers():
-		return s.cfg.Budget.Burst / float64(max(s.view.Shares, 1))
-	case s.view.Sends:
-		return s.cfg.Budget.Burst / float64(max(len(s.view.Senders), 1))
+	if r.Gathers() && !s.view.Sends {
+		return 0
 	}
-	return 0
+	return s.cfg.Budget.Burst / float64(s.sharers(r))
 }
 
 func (s *State) budgetOf(set model.ReplicaSet) *budget {
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -145,7 +145,7 @@
 		return
 	}
 	if s.anyUsable(sh.set) {
-		sh.cause = "no server has room for a connection;"
+		sh.cause = "no server has room;"
 		sh.hedgeAt = now.Add(busyPause)
 		return
 	}
@@ -179,11 +179,7 @@
 	if conns <= 0 {
 		return math.MaxInt
 	}
-	sharers := s.view.Shares
-	if r.Gathers() {
-		sharers = len(s.view.Senders)
-	}
-	return max(int(connsInUse*float64(conns)/float64(max(sharers, 1))), 1)
+	return max(int(connsInUse*float64(conns)/float64(s.sharers(r))), 1)
 }
 
 func (s *State) giveUp(q *query, sh *shard) {
@@ -198,6 +194,7 @@
 	s.next++
 	a := &attempt{id: s.next, query: q, shard: i, server: *r, stats: s.serverOf(r), sent: now, hedge: hedge}
 	a.stats.running[a.id] = now
+	a.stats.cold.send(now)
 	s.attempts[a.id] = a
 	sh.running = append(sh.running, a)
 	sh.hedgeAt = noWake
@@ -456,7 +453,7 @@
 			continue
 		}
 		srv := s.serverOf(r)
-		if len(srv.running) >= most || srv.lostAddress == r.Address {
+		if len(srv.running) >= most || srv.lostAddress == r.Address || !s.coldAllows(q, sh.set, srv, now) {
 			continue
 		}
 		wait := srv.expectedWait(r, q.latency, now)
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -55,7 +55,8 @@
 	// lostAddress is an address that another server has taken over; "none" until one has.
 	lostAddress string
 	answeredAt  model.Time // last answer of any kind
-	rank        float64    // fixed preference of this VM among servers, in [0, 1)
+	cold        cold
+	rank        float64 // fixed preference of this VM among servers, in [0, 1)
 }
 
 func newServer(self model.VM, id model.BackendServerID) *server {
--- /dev/null
+++ b/core/dispatch/session_test.go
@@ -0,0 +1,267 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// session plays random events to a state and checks what comes out.
+type session struct {
+	t        *testing.T
+	seed     uint64
+	rng      *rand.Rand
+	state    *State
+	now      model.Time
+	wake     model.Time
+	attempts map[model.AttemptID]Send
+	queries  map[model.QueryID]*asked
+	effects  []Effect
+	view     *model.EntryView
+}
+
+// asked is a query of the session with what has become of it.
+type asked struct {
+	unsafe  bool
+	gone    bool
+	answers int
+	mayRun  bool                                                // an attempt may have run it
+	servers map[model.ReplicaSet]map[model.BackendServerID]bool // that it may have reached
+}
+
+const sessionAttempts = 2
+
+func newSession(t *testing.T, seed uint64) *session {
+	search, write := gathered(4, 0.5), single(false)
+	search.MaxAttempts, write.MaxAttempts = sessionAttempts, sessionAttempts
+	w := newWorld(t, search, write)
+	for i := range 4 {
+		w.servers(model.ReplicaSet(fmt.Sprintf("set%d", i)), 3)
+	}
+	w.servers("files", 4)
+	w.view.Sends = seed%2 == 0
+	if seed%3 != 0 {
+		w.view.Senders = []model.EntryVM{{Name: "large"}}
+	}
+	s := &session{
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), state: w.state, now: start,
+		attempts: make(map[model.AttemptID]Send), queries: make(map[model.QueryID]*asked),
+	}
+	s.view = w.view
+	s.moveServers()
+	return s
+}
+
+// moveServers gives all servers other addresses.
+func (s *session) moveServers() {
+	view := *s.view
+	view.Replicas = make(map[model.ReplicaSet][]model.Replica)
+	for set, replicas := range s.view.Replicas {
+		for _, r := range replicas {
+			r.Address = fmt.Sprintf("%s at %s", r.ID, time.Duration(s.now))
+			view.Replicas[set] = append(view.Replicas[set], r)
+		}
+	}
+	s.do(ViewPublished{View: &view})
+}
+
+func (s *session) do(ev Event) {
+	for _, e := range s.state.Reduce(ev, s.now) {
+		s.effects = append(s.effects, e)
+		switch e := e.(type) {
+		case Send:
+			s.sent(e)
+		case Abort:
+			s.end(e.Attempt, Aborted)
+		case Wake:
+			s.wake = e.At
+		case PassReply:
+			s.answered(e.Query, false)
+		case Gathered:
+			s.answered(e.Query, false)
+		case Refuse:
+			s.answered(e.Query, e.Code == CodeNotRun)
+		}
+	}
+}
+
+func (s *session) sent(e Send) {
+	q := s.queries[e.Query]
+	s.attempts[e.Attempt] = e
+	if q.unsafe && q.mayRun {
+		s.t.Fatalf("seed %d: query %d is sent again though it may have run", s.seed, e.Query)
+	}
+	if q.answers > 0 {
+		s.t.Fatalf("seed %d: query %d is sent after its answer", s.seed, e.Query)
+	}
+}
+
+func (s *session) answered(id model.QueryID, notRun bool) {
+	q := s.queries[id]
+	q.answers++
+	if q.answers > 1 || q.gone {
+		s.t.Fatalf("seed %d: query %d is answered %d times (gone: %t)", s.seed, id, q.answers, q.gone)
+	}
+	if notRun && q.mayRun {
+		s.t.Fatalf("seed %d: query %d is said not to have run, though it may have", s.seed, id)
+	}
+	if !notRun {
+		return
+	}
+	for _, a := range s.attempts {
+		if a.Query == id {
+			s.t.Fatalf("seed %d: query %d is said not to have run while an attempt runs", s.seed, id)
+		}
+	}
+}
+
+// end ends an attempt. Its end may cause new effects, so that it is told later.
+func (s *session) end(id model.AttemptID, outcome Outcome) {
+	a, ok := s.attempts[id]
+	if !ok {
+		return
+	}
+	delete(s.attempts, id)
+	q := s.queries[a.Query]
+	if outcome == Answered || outcome == Unclear || outcome == Aborted {
+		q.mayRun = true
+	}
+	if outcome != NotSent {
+		if q.servers[a.Server.Set] == nil {
+			q.servers[a.Server.Set] = make(map[model.BackendServerID]bool)
+		}
+		q.servers[a.Server.Set][a.Server.ID] = true
+		if len(q.servers[a.Server.Set]) > sessionAttempts {
+			s.t.Fatalf("seed %d: query %d reached %d servers of %s", s.seed, a.Query, len(q.servers[a.Server.Set]), a.Server.Set)
+		}
+	}
+	ev := AttemptEnded{Attempt: id, Outcome: outcome}
+	if outcome == Answered {
+		status := 200
+		if s.rng.IntN(10) == 0 {
+			status = 500
+		}
+		ev.Reply = &Reply{Status: status, Signature: "s", Body: []byte("aaaaaaaaaaaaaaaa")}
+	}
+	s.do(ev)
+}
+
+func (s *session) anyAttempt() (model.AttemptID, bool) {
+	var ids []model.AttemptID
+	for id := model.AttemptID(1); id <= s.state.next; id++ {
+		if _, ok := s.attempts[id]; ok {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return 0, false
+	}
+	return ids[s.rng.IntN(len(ids))], true
+}
+
+func (s *session) step() {
+	s.now = s.now.Add(time.Duration(s.rng.IntN(8)) * time.Millisecond)
+	if s.wake != 0 && s.wake <= s.now {
+		s.wake = 0
+		s.do(Woken{})
+	}
+	if s.rng.IntN(20) == 0 {
+		s.moveServers()
+	}
+	switch s.rng.IntN(8) {
+	case 0:
+		s.ask()
+	case 1:
+		id := model.QueryID(1 + s.rng.IntN(len(s.queries)+1))
+		if q := s.queries[id]; q != nil && q.answers == 0 && s.rng.IntN(10) == 0 {
+			q.gone = true
+			s.do(CallerGone{Query: id})
+			s.checkAborted(id)
+		}
+	case 2:
+		s.do([]Event{
+			ForwardAccepted{Query: model.QueryID(1 + s.rng.IntN(len(s.queries)+1))},
+			ForwardDeclined{Query: model.QueryID(len(s.queries))},
+			ForwardLost{VM: "large"},
+		}[s.rng.IntN(3)])
+	default:
+		if id, ok := s.anyAttempt(); ok {
+			s.end(id, []Outcome{Answered, Answered, Answered, Answered, NotSent, NotRun, Misdirected, Unclear}[s.rng.IntN(8)])
+		}
+	}
+}
+
+func (s *session) checkAborted(id model.QueryID) {
+	for _, a := range s.attempts {
+		if a.Query == id {
+			s.t.Fatalf("seed %d: an attempt of query %d goes on after its caller has left", s.seed, id)
+		}
+	}
+}
+
+func (s *session) ask() {
+	id := model.QueryID(len(s.queries) + 1)
+	q := &asked{unsafe: s.rng.IntN(2) == 0, servers: make(map[model.ReplicaSet]map[model.BackendServerID]bool)}
+	s.queries[id] = q
+	path := "/s/q"
+	if q.unsafe {
+		path = "/r/q"
+	}
+	s.do(RequestReceived{Query: id, Host: "shop.example", Path: path, Patience: time.Second})
+}
+
+// finish asks some more, and then only lets time pass.
+func (s *session) finish() {
+	s.moveServers()
+	for range 6 {
+		s.ask()
+	}
+	for range 400 {
+		s.now = s.now.Add(20 * time.Millisecond)
+		s.wake = 0
+		s.do(Woken{})
+	}
+	for id, q := range s.queries {
+		if q.answers == 0 && !q.gone {
+			s.t.Fatalf("seed %d: query %d has no answer", s.seed, id)
+		}
+	}
+	if n := len(s.state.queries) + len(s.state.attempts) + len(s.state.timers); n != 0 {
+		s.t.Fatalf("seed %d: %d entries are left at the end", s.seed, n)
+	}
+}
+
+func playSession(t *testing.T, seed uint64, steps int) []Effect {
+	s := newSession(t, seed)
+	for range steps {
+		s.step()
+	}
+	s.finish()
+	return s.effects
+}
+
+// Guards against queries with no answer or several, against repeats of what must not be
+// repeated, untrue refusals, too many servers, and state that is never freed.
+func TestRandomSessions(t *testing.T) {
+	seeds := uint64(300)
+	if testing.Short() {
+		seeds = 40
+	}
+	for seed := range seeds {
+		playSession(t, seed, 1500)
+	}
+}
+
+// Guards against effects that depend on the order of a map or on a clock: a session that is
+// played again must give the same effects.
+func TestSessionsRepeat(t *testing.T) {
+	for seed := range uint64(10) {
+		if !reflect.DeepEqual(playSession(t, seed, 800), playSession(t, seed, 800)) {
+			t.Fatalf("seed %d: the second run differs", seed)
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/gooseberrylock/gooseberrylock/core/directory"
 	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
@@ -67,6 +68,7 @@
 	VM        model.EntryVM
 	Seed      uint64
 	Budget    dispatch.BudgetConfig
+	Cold      dispatch.ColdConfig
 	Directory directory.Config
 	// ReadSlack is how long a read of the store may take beyond the time that it waits.
 	ReadSlack time.Duration
@@ -97,7 +99,7 @@
 }
 
 func (c Config) dispatchConfig() dispatch.Config {
-	return dispatch.Config{Self: c.VM.Name, Zone: c.VM.Zone, Seed: c.Seed, Budget: c.Budget}
+	return dispatch.Config{Self: c.VM.Name, Zone: c.VM.Zone, Seed: c.Seed, Budget: c.Budget, Cold: c.Cold}
 }
 
 // DefaultConfig returns the settings for a VM.
@@ -116,6 +118,7 @@
 	catalog Catalog
 	backend Backend
 	log     *Log
+	tracer  trace.Tracer
 	meters  *Meters
 	start   time.Time
 
@@ -142,12 +145,13 @@
 // pending is a request whose caller waits.
 type pending struct {
 	req    *Request
+	span   trace.Span
 	answer chan Answer // nil for a query that another VM has handed over
 	handed handedQuery
 }
 
 // New returns an entry VM that is not running yet.
-func New(cfg Config, catalog Catalog, backend Backend, log *Log, meters *Meters) (*Tier, error) {
+func New(cfg Config, catalog Catalog, backend Backend, log *Log, meters *Meters, tracer trace.Tracer) (*Tier, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, eris.Wrap(err, "settings of the entry VM")
 	}
@@ -156,6 +160,7 @@
 		catalog: catalog,
 		backend: backend,
 		log:     log,
+		tracer:  tracer,
 		meters:  meters,
 		start:   time.Now(),
 		inbox:   make(chan dispatch.Event, inboxSize),
@@ -208,7 +213,9 @@
 	t.running.Add(1)
 	defer t.running.Add(-1)
 	id := model.QueryID(t.nextID.Add(1))
-	p := &pending{req: r, answer: make(chan Answer, 1)}
+	span := t.startRequest(ctx, r)
+	defer span.End()
+	p := &pending{req: r, span: span, answer: make(chan Answer, 1)}
 	t.mu.Lock()
 	t.pending[id] = p
 	t.mu.Unlock()
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
@@ -35,7 +36,7 @@
 	id := model.QueryID(t.nextID.Add(1))
 	key := handedQuery{stream: from, id: q.GetId()}
 	t.mu.Lock()
-	t.pending[id] = &pending{req: r, handed: key}
+	t.pending[id] = &pending{req: r, span: t.startRequest(context.Background(), r), handed: key}
 	t.handed[key] = id
 	t.mu.Unlock()
 	t.running.Add(1)
@@ -79,6 +80,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.handed[key]; ok {
+		t.pending[id].span.End()
 		delete(t.handed, key)
 		delete(t.pending, id)
 		t.running.Add(-1)
--- /dev/null
+++ b/entry/tracing.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
+)
+
+// traceRatio is the part of the requests that are traced.
+const traceRatio = 0.01
+
+// NewTracer returns a tracer that exports a part of the requests over OTLP to host:port, and
+// the function that ends it. An empty endpoint means that nothing is traced.
+func NewTracer(ctx context.Context, endpoint string) (trace.Tracer, func(context.Context) error, error) {
+	const name = "gooseberrylock/entry"
+	if endpoint == "" {
+		return noop.NewTracerProvider().Tracer(name), func(context.Context) error { return nil }, nil
+	}
+	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(endpoint), otlptracehttp.WithInsecure())
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "export traces to %s", endpoint)
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(traceRatio))),
+	)
+	return provider.Tracer(name), provider.Shutdown, nil
+}
+
+// startRequest opens the span of a request.
+func (t *Tier) startRequest(ctx context.Context, r *Request) trace.Span {
+	_, span := t.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("request.id", r.CallerID), attribute.String("path", r.RoutePath))
+	}
+	return span
+}
+
+// startAttempt opens the span of an attempt under that of its request.
+func (t *Tier) startAttempt(ctx context.Context, e dispatch.Send, parent trace.Span) trace.Span {
+	_, span := t.tracer.Start(trace.ContextWithSpan(ctx, parent), "attempt", trace.WithSpanKind(trace.SpanKindClient))
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("server", string(e.Server.ID)), attribute.String("set", string(e.Server.Set)))
+	}
+	return span
+}
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -108,15 +108,17 @@
 	}
 	ctx, cancel := context.WithCancel(tr.ctx)
 	tr.cancels[e.Attempt] = cancel
-	go tr.t.attempt(ctx, tr.ctx, e, p.req)
+	go tr.t.attempt(ctx, tr.ctx, e, p)
 }
 
 // attempt runs one attempt and reports its end.
-func (t *Tier) attempt(ctx, runCtx context.Context, e dispatch.Send, r *Request) {
+func (t *Tier) attempt(ctx, runCtx context.Context, e dispatch.Send, p *pending) {
+	span := t.startAttempt(ctx, e, p.span)
+	defer span.End()
 	left := e.Deadline.Sub(t.now())
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	outcome, reply, cause := t.backend.Send(ctx, e.Server, r, left)
+	outcome, reply, cause := t.backend.Send(ctx, e.Server, p.req, left)
 	if context.Cause(ctx) == context.Canceled && outcome != dispatch.Answered {
 		outcome = dispatch.Aborted
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -224,7 +224,7 @@
 // gatheredProblem returns what is wrong with a gathered answer, or "".
 func gatheredProblem(id, stamps string, missing int, body string) string {
 	seen := make(map[string]bool)
-	var records []string
+	var sets []string
 	for stamp := range strings.SplitSeq(stamps, ",") {
 		stamp = strings.TrimSpace(stamp)
 		fields := strings.Split(stamp, ".")
@@ -235,10 +235,7 @@
 			return "two parts of " + fields[1]
 		}
 		seen[fields[1]] = true
-		all := part(id, fields[1])
-		for i := 0; i < len(all); i += 16 {
-			records = append(records, all[i:i+16])
-		}
+		sets = append(sets, fields[1])
 	}
 	if len(seen)+missing != shards {
 		return fmt.Sprintf("%d parts and %d missing are not %d shards", len(seen), missing, shards)
@@ -246,10 +243,22 @@
 	if float64(len(seen)) < leastCoverage*shards {
 		return fmt.Sprintf("%d parts are too few", len(seen))
 	}
-	slices.Sort(records)
-	slices.Reverse(records)
-	if want := strings.Join(records[:min(topK, len(records))], ""); body != want {
+	if body != greatest(id, sets) {
 		return "the body is not the greatest records of the parts"
 	}
 	return ""
 }
+
+// greatest returns the greatest records of the parts of some sets, greatest first.
+func greatest(id string, sets []string) string {
+	const recordBytes = 16
+	var records []string
+	for _, set := range sets {
+		for all := part(id, set); all != ""; all = all[recordBytes:] {
+			records = append(records, all[:recordBytes])
+		}
+	}
+	slices.Sort(records)
+	slices.Reverse(records)
+	return strings.Join(records[:min(topK, len(records))], "")
+}
