Share the types of log lines; list when watches fail

core/note replaces the copies of Level and Field in both reducers. The order to move a set is only logged, so that its watch waits 10 s.

--- a/core/directory/apply.go
+++ b/core/directory/apply.go
@@ -1,14 +1,15 @@
 package directory
 
 import (
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
 func (s *State) apply(k Kind, changes []Change, now model.Time) {
 	for _, c := range changes {
 		if c.Problem != "" {
-			s.note(Warn, "object cannot be used", Field{"kind", k}, Field{"name", c.Name},
-				Field{"revision", c.Revision}, Field{"cause", c.Problem})
+			s.note(note.Warn, "object cannot be used", note.F("kind", k), note.F("name", c.Name),
+				note.F("revision", c.Revision), note.F("cause", c.Problem))
 		}
 		s.keep(k, c)
 		switch k {
@@ -49,9 +50,9 @@
 	if s.config != nil {
 		old = s.config.Version
 	}
-	s.note(Info, "configuration is in force", Field{"version", cfg.Version}, Field{"before", old},
-		Field{"revision", cfg.Revision}, Field{"routes", len(cfg.Routes)},
-		Field{"last_answer_ago", now.Sub(s.reads[KindConfig].okAt)})
+	s.note(note.Info, "configuration is in force", note.F("version", cfg.Version), note.F("before", old),
+		note.F("revision", cfg.Revision), note.F("routes", len(cfg.Routes)),
+		note.F("last_answer_ago", now.Sub(s.reads[KindConfig].okAt)))
 	s.config = cfg
 	s.changed = true
 }
@@ -68,28 +69,28 @@
 		return
 	}
 	if known && r.Born.Before(old.value.Born) {
-		s.note(Info, "entry of an earlier start of a server left out", Field{"server", c.Name},
-			Field{"revision", c.Revision})
+		s.note(note.Info, "entry of an earlier start of a server left out", note.F("server", c.Name),
+			note.F("revision", c.Revision))
 		return
 	}
 	s.replicas[c.Name] = &replica{value: *r}
 	s.changed = true
 	if !known || old.value.Draining != r.Draining || !old.value.Born.Equal(r.Born) {
-		s.note(Info, "server", Field{"server", r.ID}, Field{"set", r.Set}, Field{"address", r.Address},
-			Field{"zone", r.Zone}, Field{"draining", r.Draining}, Field{"revision", c.Revision})
+		s.note(note.Info, "server", note.F("server", r.ID), note.F("set", r.Set), note.F("address", r.Address),
+			note.F("zone", r.Zone), note.F("draining", r.Draining), note.F("revision", c.Revision))
 	}
 }
 
 func (s *State) removeReplica(c Change, old *replica, now model.Time) {
 	if now < s.doubtUntil && !old.value.Draining {
 		old.lapsed = true
-		s.note(Info, "server's entry lapsed while the store was away, kept for now",
-			Field{"server", c.Name}, Field{"until", s.doubtUntil})
+		s.note(note.Info, "server's entry lapsed while the store was away, kept for now",
+			note.F("server", c.Name), note.F("until", s.doubtUntil))
 		return
 	}
 	delete(s.replicas, c.Name)
 	s.changed = true
-	s.note(Info, "server is gone", Field{"server", c.Name}, Field{"set", old.value.Set}, Field{"revision", c.Revision})
+	s.note(note.Info, "server is gone", note.F("server", c.Name), note.F("set", old.value.Set), note.F("revision", c.Revision))
 }
 
 // endDoubt forgets the servers whose entries did not come back after an outage of the store.
@@ -102,7 +103,7 @@
 		if s.replicas[name].lapsed {
 			delete(s.replicas, name)
 			s.changed = true
-			s.note(Info, "server did not come back after the outage of the store", Field{"server", name})
+			s.note(note.Info, "server did not come back after the outage of the store", note.F("server", name))
 		}
 	}
 }
@@ -117,7 +118,7 @@
 		s.zonesOut[c.Name] = true
 	}
 	s.changed = true
-	s.note(Info, "zone", Field{"zone", c.Name}, Field{"out", !c.Removed}, Field{"revision", c.Revision})
+	s.note(note.Info, "zone", note.F("zone", c.Name), note.F("out", !c.Removed), note.F("revision", c.Revision))
 }
 
 func (s *State) applyRollout(c Change) {
@@ -131,8 +132,8 @@
 	}
 	s.rollouts[c.Name] = *r
 	s.changed = true
-	s.note(Info, "rollout", Field{"set", r.Set}, Field{"target", r.Target}, Field{"state", r.State},
-		Field{"revision", c.Revision})
+	s.note(note.Info, "rollout", note.F("set", r.Set), note.F("target", r.Target), note.F("state", r.State),
+		note.F("revision", c.Revision))
 }
 
 func (s *State) applyVM(c Change, now model.Time) {
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -57,7 +58,7 @@
 			KindConfig:   1200 * time.Millisecond,
 			KindReplicas: 1500 * time.Millisecond,
 			KindZonesOut: 2500 * time.Millisecond,
-			KindRollouts: 2500 * time.Millisecond,
+			KindRollouts: 10 * time.Second,
 			KindVMs:      5 * time.Second,
 		},
 		Gather:           100 * time.Millisecond,
@@ -203,8 +204,8 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
-func (s *State) note(level Level, message string, fields ...Field) {
-	s.emit(Note{Level: level, Message: message, Fields: fields})
+func (s *State) note(level note.Level, message string, fields ...note.Field) {
+	s.emit(Note{Line: note.Line{Level: level, Message: message, Fields: fields}})
 }
 
 func (s *State) register(now model.Time) {
@@ -221,7 +222,7 @@
 		return
 	}
 	s.registerAt = now.Add(s.cfg.RetryMax)
-	s.note(Warn, "registration of this VM failed", Field{"cause", ev.Cause})
+	s.note(note.Warn, "registration of this VM failed", note.F("cause", ev.Cause))
 }
 
 // askWake asks for the next time at which something is due.
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -358,3 +358,15 @@
 	is.Equal(w.view.Shares, 2)
 	is.Equal(len(w.view.Senders), 2)
 }
+
+// Guards against a VM that learns nothing from a store that is too slow for its watches: after
+// two that fail it lists.
+func TestListsWhenWatchesFail(t *testing.T) {
+	is := is.New(t)
+	w := started("vm1")
+	w.do(ReadFailed{Kind: KindConfig, Cause: "timeout"})
+	is.Equal(count[List](w.wait(time.Second)), 0)
+	w.do(ReadFailed{Kind: KindConfig, Cause: "timeout"})
+	is.Equal(count[List](w.wait(time.Second)), 1)
+	is.Equal(count[Watch](w.do(Listed{Kind: KindConfig, Revision: 5})), 1)
+}
--- a/core/directory/event.go
+++ b/core/directory/event.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -157,12 +158,8 @@
 	Publish struct{ View *model.EntryView }
 	// Wake asks for Woken at a time. A later Wake replaces it.
 	Wake struct{ At model.Time }
-	// Note is one line of the log.
-	Note struct {
-		Level   Level
-		Message string
-		Fields  []Field
-	}
+	// Note writes a line to the log.
+	Note struct{ note.Line }
 )
 
 func (List) effect()     {}
@@ -174,18 +171,3 @@
 func (Spread) effect()   {}
 func (Wake) effect()     {}
 func (Note) effect()     {}
-
-// Level is the level of a log line.
-type Level uint8
-
-// The levels of a log line.
-const (
-	Info Level = iota
-	Warn
-)
-
-// Field is a key with a value in a log line.
-type Field struct {
-	Key   string
-	Value any
-}
--- a/core/directory/peers.go
+++ b/core/directory/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -109,7 +110,7 @@
 	l.until = now.Add(s.cfg.LostFor << min(l.times, maxLostDoublings))
 	l.times++
 	s.lost[vm] = l
-	s.note(Info, "followed VM is lost", Field{"peer", vm}, Field{"cause", cause}, Field{"times", l.times})
+	s.note(note.Info, "followed VM is lost", note.F("peer", vm), note.F("cause", cause), note.F("times", l.times))
 }
 
 // heard takes what a followed VM says.
@@ -121,7 +122,7 @@
 	u.heardAt = now
 	if l, ok := s.lost[ev.From]; ok {
 		delete(s.lost, ev.From)
-		s.note(Info, "followed VM is back", Field{"peer", ev.From}, Field{"lost_times", l.times})
+		s.note(note.Info, "followed VM is back", note.F("peer", ev.From), note.F("lost_times", l.times))
 	}
 	if ev.Update != nil {
 		k := ev.Update.Kind
--- a/core/directory/reads.go
+++ b/core/directory/reads.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -34,7 +35,7 @@
 	case HistoryGone:
 		r := &s.reads[ev.Kind]
 		r.running, r.list, r.dueAt = false, true, now
-		s.note(Info, "history of the store is gone, listing again", Field{"kind", ev.Kind}, Field{"since", r.revision})
+		s.note(note.Info, "history of the store is gone, listing again", note.F("kind", ev.Kind), note.F("since", r.revision))
 	case ReadFailed:
 		s.readFailed(ev, now)
 	}
@@ -45,7 +46,7 @@
 	r.running, r.failures = false, 0
 	if s.failing {
 		s.failing = false
-		s.note(Info, "store is back", Field{"kind", k}, Field{"last_confirmed_ago", now.Sub(r.okAt)})
+		s.note(note.Info, "store is back", note.F("kind", k), note.F("last_confirmed_ago", now.Sub(r.okAt)))
 		for other := range s.reads {
 			if !s.reads[other].running {
 				s.reads[other].dueAt = min(s.reads[other].dueAt, now)
@@ -65,20 +66,27 @@
 	gap := at.Sub(r.okAt)
 	if k == KindReplicas && r.revision > 0 && gap >= s.cfg.LapseAfter {
 		s.doubtUntil = at.Add(s.cfg.LapseGrace)
-		s.note(Info, "entries may have lapsed while the store was away", Field{"away", gap}, Field{"kept_for", s.cfg.LapseGrace})
+		s.note(note.Info, "entries may have lapsed while the store was away", note.F("away", gap), note.F("kept_for", s.cfg.LapseGrace))
 	}
 	r.okAt = at
 }
 
+// watchFailures is the number of reads that fail in a row after which a kind is listed: a store
+// may be too slow for watches, which have less time to answer.
+const watchFailures = 2
+
 func (s *State) readFailed(ev ReadFailed, now model.Time) {
 	r := &s.reads[ev.Kind]
 	r.running = false
 	r.failures++
+	if r.failures >= watchFailures {
+		r.list = true
+	}
 	r.dueAt = now.Add(min(s.cfg.RetryMin<<min(r.failures-1, 8), s.cfg.RetryMax))
 	if !s.failing {
 		s.failing = true
-		s.note(Warn, "store does not answer", Field{"kind", ev.Kind}, Field{"cause", ev.Cause},
-			Field{"last_confirmed_ago", now.Sub(r.okAt)})
+		s.note(note.Warn, "store does not answer", note.F("kind", ev.Kind), note.F("cause", ev.Cause),
+			note.F("last_confirmed_ago", now.Sub(r.okAt)))
 	}
 }
 
@@ -157,8 +165,8 @@
 		return
 	}
 	if !u.Full && u.Since > r.revision {
-		s.note(Warn, "changes are missing, reading the store", Field{"kind", u.Kind},
-			Field{"known", r.revision}, Field{"since", u.Since})
+		s.note(note.Warn, "changes are missing, reading the store", note.F("kind", u.Kind),
+			note.F("known", r.revision), note.F("since", u.Since))
 		r.gap, r.list, r.okAt = true, true, 0
 		return
 	}
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -6,6 +6,7 @@
 
 	"container/heap"
 
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -78,13 +79,20 @@
 		}
 	}
 	g.Body = mergeTop(parts, q.route.TopK)
+	if g.Missing > 0 {
+		s.notePartial(q, g.Missing, now)
+	}
+	s.endGathered(q, g, now)
+}
+
+// endGathered answers a query with a gathered answer of this VM or of a sender.
+func (s *State) endGathered(q *query, g Gathered, now model.Time) {
 	s.emit(g)
 	s.emit(Timed{Route: q.route.Name, Duration: now.Sub(q.received)})
 	if g.Missing == 0 {
 		s.count(CountComplete)
 	} else {
 		s.count(CountPartial)
-		s.notePartial(q, g.Missing, now)
 	}
 	s.endQuery(q, now)
 }
@@ -93,15 +101,15 @@
 const maxNamedShards = 4
 
 func (s *State) notePartial(q *query, missing int, now model.Time) {
-	fields := []Field{
-		{"route", q.route.Name}, {"missing", missing}, {"shards", len(q.shards)},
-		{"after", now.Sub(q.received)}, {"config", s.view.Config.Version},
+	fields := []note.Field{
+		note.F("route", q.route.Name), note.F("missing", missing), note.F("shards", len(q.shards)),
+		note.F("after", now.Sub(q.received)), note.F("config", s.view.Config.Version),
 	}
-	s.note(Info, "partial answer", q, append(fields, q.openShards(now)...)...)
+	s.note(note.Info, "partial answer", q, append(fields, q.openShards(now)...)...)
 }
 
-func (q *query) openShards(now model.Time) []Field {
-	var fields []Field
+func (q *query) openShards(now model.Time) []note.Field {
+	var fields []note.Field
 	for i := range q.shards {
 		sh := &q.shards[i]
 		if sh.part != nil {
@@ -114,7 +122,7 @@
 		for _, a := range sh.running {
 			text += fmt.Sprintf(" waiting for %s since %s;", a.server.ID, now.Sub(a.sent).Round(time.Millisecond))
 		}
-		fields = append(fields, Field{"missing." + string(sh.set), text})
+		fields = append(fields, note.F("missing."+string(sh.set), text))
 	}
 	return fields
 }
@@ -156,8 +164,8 @@
 	s.emit(Timed{Route: q.route.Name, Duration: now.Sub(q.received)})
 	s.count(CountPassed)
 	if !reply.success() {
-		s.note(Info, "failure passed on", q, Field{"route", q.route.Name}, Field{"status", reply.Status},
-			Field{"servers", q.shards[0].tried})
+		s.note(note.Info, "failure passed on", q, note.F("route", q.route.Name), note.F("status", reply.Status),
+			note.F("servers", q.shards[0].tried))
 	}
 	s.endQuery(q, now)
 }
@@ -171,14 +179,14 @@
 	}
 	s.emit(ref)
 	s.count(codeCounters[code])
-	fields := []Field{{"code", code}, {"reason", reason}, {"after", now.Sub(q.received)}}
+	fields := []note.Field{note.F("code", code), note.F("reason", reason), note.F("after", now.Sub(q.received))}
 	if q.route != nil {
-		fields = append(fields, Field{"route", q.route.Name}, Field{"deadline", q.deadline.Sub(q.received)})
+		fields = append(fields, note.F("route", q.route.Name), note.F("deadline", q.deadline.Sub(q.received)))
 	}
 	if s.view.Config != nil {
-		fields = append(fields, Field{"config", s.view.Config.Version}, Field{"config_age", until(now, s.view.AsOf)})
+		fields = append(fields, note.F("config", s.view.Config.Version), note.F("config_age", until(now, s.view.AsOf)))
 	}
-	s.note(Warn, "request refused", q, append(fields, q.openShards(now)...)...)
+	s.note(note.Warn, "request refused", q, append(fields, q.openShards(now)...)...)
 	s.endQuery(q, now)
 }
 
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -112,8 +113,8 @@
 
 func (s *State) count(c Counter) { s.emit(Count{Counter: c}) }
 
-func (s *State) note(level Level, message string, q *query, fields ...Field) {
-	s.emit(Note{Level: level, Message: message, Query: q.callerID, Fields: fields})
+func (s *State) note(level note.Level, message string, q *query, fields ...note.Field) {
+	s.emit(Note{Line: note.Line{Level: level, Message: message, Request: q.callerID, Fields: fields}})
 }
 
 // publish replaces the view. What was seen of servers that are gone is forgotten once no
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -128,13 +129,8 @@
 	}
 	// Wake asks for Woken at a time. A later Wake replaces it.
 	Wake struct{ At model.Time }
-	// Note is one line of the log.
-	Note struct {
-		Level   Level
-		Message string
-		Query   string // the caller's ID
-		Fields  []Field
-	}
+	// Note writes a line to the log.
+	Note struct{ note.Line }
 	// Count adds to a counter.
 	Count struct{ Counter Counter }
 	// Timed reports the duration of a query or an attempt.
@@ -175,22 +171,6 @@
 // String implements fmt.Stringer.
 func (c Code) String() string { return codeNames[c] }
 
-// Level is the level of a log line.
-type Level uint8
-
-// The levels of a log line.
-const (
-	Debug Level = iota
-	Info
-	Warn
-)
-
-// Field is a key with a value in a log line.
-type Field struct {
-	Key   string
-	Value any
-}
-
 // Counter names a counter.
 type Counter uint8
 
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -114,8 +115,8 @@
 	q.acceptBy = now.Add(acceptTimeout)
 	s.senderOf(to.Name).running++
 	s.count(CountForwarded)
-	s.note(Info, "handed to a sender", q, Field{"peer", to.Name}, Field{"config", s.view.Config.Version},
-		Field{"age", age}, Field{"running", s.senderOf(to.Name).running})
+	s.note(note.Info, "handed to a sender", q, note.F("peer", to.Name), note.F("config", s.view.Config.Version),
+		note.F("age", age), note.F("running", s.senderOf(to.Name).running))
 	s.emit(Forward{
 		Query: q.id, VM: to.Name, Address: to.Address, Version: max(s.view.Config.Version, s.seenVersion),
 		Age: age, Left: q.patience.Sub(now),
@@ -185,7 +186,7 @@
 	case ForwardDeclined:
 		if q, ok := s.handedOver(ev.Query); ok {
 			s.senderOf(q.sender).lostUntil = now.Add(senderLostFor)
-			s.note(Info, "sender declined", q, Field{"peer", q.sender})
+			s.note(note.Info, "sender declined", q, note.F("peer", q.sender))
 			s.takeBack(q)
 			s.sendSelf(q, now)
 		}
@@ -215,14 +216,7 @@
 	}
 	g := *ev.Gathered
 	g.Query = q.id
-	s.emit(g)
-	s.emit(Timed{Route: q.route.Name, Duration: now.Sub(q.received)})
-	if g.Missing == 0 {
-		s.count(CountComplete)
-	} else {
-		s.count(CountPartial)
-	}
-	s.endQuery(q, now)
+	s.endGathered(q, g, now)
 }
 
 // senderLost ends the queries of a lost sender, since their attempts may have run; the caller
@@ -233,7 +227,7 @@
 		if q.ended || q.sender != ev.VM {
 			continue
 		}
-		s.note(Info, "sender is lost", q, Field{"peer", ev.VM}, Field{"cause", ev.Cause}, Field{"opened", ev.Opened})
+		s.note(note.Info, "sender is lost", q, note.F("peer", ev.VM), note.F("cause", ev.Cause), note.F("opened", ev.Opened))
 		s.takeBack(q)
 		if ev.Opened {
 			s.refuse(q, CodeFailed, "the sender was lost", now)
@@ -266,7 +260,7 @@
 	s.emit(CancelForward{Query: q.id, VM: q.sender})
 	s.emit(SuspectSender{VM: q.sender})
 	s.senderOf(q.sender).lostUntil = now.Add(senderLostFor)
-	s.note(Info, "sender did not accept in time", q, Field{"peer", q.sender})
+	s.note(note.Info, "sender did not accept in time", q, note.F("peer", q.sender))
 	s.takeBack(q)
 	s.refuse(q, CodeFailed, "the sender did not accept in time", now)
 }
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -77,7 +78,7 @@
 	q := &query{id: ev.Query, callerID: ev.CallerID, received: now, wakeAt: noWake}
 	if ev.Forwarded {
 		if reason := s.declineReason(ev, now); reason != "" {
-			s.note(Info, "query declined", q, Field{"reason", reason}, Field{"age", ev.OwnAge}, Field{"its_age", ev.Age})
+			s.note(note.Info, "query declined", q, note.F("reason", reason), note.F("age", ev.OwnAge), note.F("its_age", ev.Age))
 			s.emit(Decline{Query: q.id, Reason: reason})
 			return
 		}
@@ -303,8 +304,8 @@
 	if ev.Outcome == NotSent {
 		sh.avoid = append(sh.avoid, a.server.ID)
 	}
-	s.note(Info, "attempt failed", q, Field{"set", sh.set}, Field{"server", a.server.ID},
-		Field{"cause", sh.cause}, Field{"after", now.Sub(a.sent)})
+	s.note(note.Info, "attempt failed", q, note.F("set", sh.set), note.F("server", a.server.ID),
+		note.F("cause", sh.cause), note.F("after", now.Sub(a.sent)))
 	if sh.done {
 		return
 	}
@@ -337,8 +338,8 @@
 	if len(sh.tried) > 0 && !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.burst(q.route), false) {
 		s.count(CountBudgetEmpty)
 		sh.cause += "; retry budget is used up"
-		s.note(Info, "no retry", q, Field{"set", sh.set}, Field{"cause", "retry budget is used up"},
-			Field{"burst", s.burst(q.route)})
+		s.note(note.Info, "no retry", q, note.F("set", sh.set), note.F("cause", "retry budget is used up"),
+			note.F("burst", s.burst(q.route)))
 		return false
 	}
 	if len(sh.tried) > 0 {
@@ -358,7 +359,7 @@
 		return
 	}
 	s.count(CountCallerGone)
-	s.note(Debug, "caller left", q)
+	s.note(note.Debug, "caller left", q)
 	if q.sender != "" {
 		s.emit(CancelForward{Query: q.id, VM: q.sender})
 		s.takeBack(q)
@@ -422,13 +423,13 @@
 	if !s.budgetOf(sh.set).take(s.cfg.Budget, now, s.burst(q.route), true) {
 		s.count(CountBudgetEmpty)
 		sh.cause = "no hedge, the retry budget is used up;"
-		s.note(Info, "no hedge", q, Field{"set", sh.set}, Field{"cause", "retry budget is used up"},
-			Field{"burst", s.burst(q.route)})
+		s.note(note.Info, "no hedge", q, note.F("set", sh.set), note.F("cause", "retry budget is used up"),
+			note.F("burst", s.burst(q.route)))
 		return
 	}
 	s.count(CountHedges)
-	s.note(Info, "hedge", q, Field{"set", sh.set}, Field{"server", r.ID}, Field{"waited", now.Sub(sh.running[0].sent)},
-		Field{"expected", wait}, Field{"median", q.latency.median})
+	s.note(note.Info, "hedge", q, note.F("set", sh.set), note.F("server", r.ID), note.F("waited", now.Sub(sh.running[0].sent)),
+		note.F("expected", wait), note.F("median", q.latency.median))
 	s.send(q, i, r, true, now)
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -71,7 +71,7 @@
 	case directory.Wake:
 		timer.Reset(max(e.At.Sub(t.now()), 0))
 	case directory.Note:
-		t.log.directory(e)
+		t.log.note(e.Line)
 	}
 }
 
--- a/entry/log.go
+++ b/entry/log.go
@@ -8,8 +8,7 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/gooseberrylock/gooseberrylock/core/directory"
-	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
+	"github.com/gooseberrylock/gooseberrylock/core/note"
 	"github.com/gooseberrylock/gooseberrylock/internal/loglimit"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
@@ -117,30 +116,22 @@
 	e.Msg(message)
 }
 
-var dispatchLevels = map[dispatch.Level]log.Level{
-	dispatch.Debug: log.DebugLevel,
-	dispatch.Info:  log.InfoLevel,
-	dispatch.Warn:  log.WarnLevel,
+var levels = map[note.Level]log.Level{
+	note.Debug: log.DebugLevel,
+	note.Info:  log.InfoLevel,
+	note.Warn:  log.WarnLevel,
 }
 
-func (l *Log) dispatch(n dispatch.Note) {
-	if dispatchLevels[n.Level] < l.Level {
+// note writes a line of a reducer.
+func (l *Log) note(n note.Line) {
+	level := levels[n.Level]
+	if level < l.Level {
 		return
 	}
-	l.line(dispatchLevels[n.Level], n.Message, func(e *log.Entry) {
-		e.Str("request", n.Query)
-		for _, f := range n.Fields {
-			field(e, f.Key, f.Value)
-		}
-	})
-}
-
-func (l *Log) directory(n directory.Note) {
-	level := log.InfoLevel
-	if n.Level == directory.Warn {
-		level = log.WarnLevel
-	}
 	l.line(level, n.Message, func(e *log.Entry) {
+		if n.Request != "" {
+			e.Str("request", n.Request)
+		}
 		for _, f := range n.Fields {
 			field(e, f.Key, f.Value)
 		}
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -79,7 +79,7 @@
 	case dispatch.Wake:
 		tr.timer.Reset(max(e.At.Sub(tr.t.now()), 0))
 	case dispatch.Note:
-		tr.t.log.dispatch(e)
+		tr.t.log.note(e.Line)
 	case dispatch.Count:
 		tr.t.meters.count(e.Counter)
 	case dispatch.Timed:
