Count lists too in the test of few reads

TestFewReadsWhileTheStoreIsAway counted watches only; since two failed reads lead to a list, it saw 1 of them. It now counts both, with the same bounds (4 to 10 in 5 s).

--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -193,9 +193,13 @@
 	}
 	for range 100 {
 		for _, e := range w.wait(50 * time.Millisecond) {
-			if watch, ok := e.(Watch); ok {
+			switch e := e.(type) {
+			case Watch:
 				reads++
-				w.do(ReadFailed{Kind: watch.Kind, Cause: "refused"})
+				w.do(ReadFailed{Kind: e.Kind, Cause: "refused"})
+			case List:
+				reads++
+				w.do(ReadFailed{Kind: e.Kind, Cause: "refused"})
 			}
 		}
 	}
