--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -355,3 +355,17 @@
 	w.view.Replicas["files"][0].Address = "10.0.0.2:80" // it has moved
 	is.True(has[Send](w.request("/r/q")))
 }
+
+// Guards against a request that waits to its deadline for servers that cannot be reached while
+// others can: those do not count as attempts.
+func TestUnreachableServers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, single(false))
+	w.servers("files", 4)
+	w.request("/r/q")
+	for i := range maxUnreachable {
+		w.fail(w.sends[i], NotSent)
+		is.Equal(len(w.sends), i+2)
+	}
+	is.True(has[PassReply](w.reply(w.sends[maxUnreachable], "x")))
+}
