--- a/soak/main.go
+++ b/soak/main.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -50,7 +52,11 @@
 	cmd.Flags().IntVar(&o.vms, "vms", 4, "entry VMs")
 	cmd.Flags().StringVar(&o.daemon, "daemon", "", "daemon to run instead of the one built from this module")
 	cmd.Flags().StringVar(&o.dir, "out", "", "directory for logs and the report (default: a temporary one)")
-	if err := cmd.ExecuteContext(context.Background()); err != nil {
+	// A signal ends the soak in order, so that it leaves no process behind.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	err := cmd.ExecuteContext(ctx)
+	stop()
+	if err != nil {
 		os.Exit(1)
 	}
 }
