Remove a field and a method of dispatch that nothing reads

attempt.hedge was set and never read, and State.Running had no caller. Behaviour is unchanged; vet and the package's tests pass.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -98,17 +98,6 @@
 	return s.effects
 }
 
-// Running returns the number of requests that are not answered yet.
-func (s *State) Running() int {
-	n := 0
-	for _, q := range s.queries {
-		if !q.ended {
-			n++
-		}
-	}
-	return n
-}
-
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
 func (s *State) count(c Counter) { s.emit(Count{Counter: c}) }
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -70,7 +70,6 @@
 	server model.Replica
 	stats  *server
 	sent   model.Time
-	hedge  bool
 }
 
 func (s *State) received(ev RequestReceived, now model.Time) {
@@ -142,7 +141,7 @@
 func (s *State) start(q *query, i int, now model.Time) {
 	sh := &q.shards[i]
 	if r := s.pick(q, sh, now); r != nil {
-		s.send(q, i, r, false, now)
+		s.send(q, i, r, now)
 		return
 	}
 	if s.anyUsable(sh.set) {
@@ -190,10 +189,10 @@
 	}
 }
 
-func (s *State) send(q *query, i int, r *model.Replica, hedge bool, now model.Time) {
+func (s *State) send(q *query, i int, r *model.Replica, now model.Time) {
 	sh := &q.shards[i]
 	s.next++
-	a := &attempt{id: s.next, query: q, shard: i, server: *r, stats: s.serverOf(r), sent: now, hedge: hedge}
+	a := &attempt{id: s.next, query: q, shard: i, server: *r, stats: s.serverOf(r), sent: now}
 	a.stats.running[a.id] = now
 	a.stats.cold.send(now)
 	s.attempts[a.id] = a
@@ -345,7 +344,7 @@
 	if len(sh.tried) > 0 {
 		s.count(CountRetries)
 	}
-	s.send(q, a.shard, r, false, now)
+	s.send(q, a.shard, r, now)
 	return true
 }
 
@@ -430,7 +429,7 @@
 	s.count(CountHedges)
 	s.note(note.Info, "hedge", q, note.F("set", sh.set), note.F("server", r.ID), note.F("waited", now.Sub(sh.running[0].sent)),
 		note.F("expected", wait), note.F("median", q.latency.median))
-	s.send(q, i, r, true, now)
+	s.send(q, i, r, now)
 }
 
 // maxHedgeWait is the expected wait, in 95th percentiles of the route, above which a server
