--- a/core/directory/apply.go
+++ b/core/directory/apply.go
@@ -78,7 +78,7 @@
 	s.replicas[c.Name] = &replica{value: *r}
 	s.viewChanged = true
 	if !known || old.value.Draining != r.Draining || !old.value.StartedAt.Equal(r.StartedAt) {
-		s.log(logline.Info, "server", logline.F("server", r.ID), logline.F("set", r.Set), logline.F("address", r.Address),
+		s.log(logline.Info, "server", logline.F("server", r.ID), logline.F("set", r.Set), logline.F("version", r.Version), logline.F("address", r.Address),
 			logline.F("zone", r.Zone), logline.F("draining", r.Draining), logline.F("revision", c.Revision))
 	}
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -108,6 +108,7 @@
 	}
 	s.runTimers(now)
 	s.reportEvidence(now)
+	s.logExposure(now)
 	s.requestWake()
 	return s.effects
 }
@@ -131,7 +132,9 @@
 	s.unconfirmed = view.Unconfirmed
 	s.applyRollouts(now)
 	known := make(map[serverKey]bool)
-	for _, replicas := range view.Replicas {
+	for _, set := range sortedSets(view.Replicas) {
+		replicas := view.Replicas[set]
+		s.logVersions(set, replicas)
 		for i := range replicas {
 			known[keyOf(&replicas[i])] = true
 			s.statsOf(&replicas[i]).cold.observeRegistration(&replicas[i], now)
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/logline"
 	"github.com/gooseberrylock/gooseberrylock/core/moves"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
@@ -32,6 +34,8 @@
 	oldVersionExclusion = 10 * time.Second
 	// evidenceInterval is the minimum interval between ReportEvidence effects.
 	evidenceInterval = 250 * time.Millisecond
+	// exposureLogInterval is the interval between the log lines with the counts of a rollout.
+	exposureLogInterval = time.Second
 )
 
 // ReportEvidence reports the comparison of both versions of running rollouts since the last
@@ -45,8 +49,11 @@
 	rollout     model.Rollout
 	order       string
 	requests    float64 // to the replica set since the order
+	answered    float64 // attempts that a server of the set has answered, refusals included
 	sent        float64 // attempts sent to servers of the target version
-	targetKnown bool    // the view has servers of the target version
+	failed      float64 // attempts that a server of the target version has failed
+	loggedAt    model.Time
+	targetKnown bool // the view has servers of the target version
 	// completedAt is when a view first showed the rollout as completed; 0 before.
 	completedAt model.Time
 }
@@ -157,6 +164,60 @@
 	}
 }
 
+// countOutcome counts the outcome of an attempt for the log lines of a rollout.
+func (s *State) countOutcome(a *attempt, ev AttemptEnded) {
+	c, ok := s.canaries[a.server.Set]
+	if !ok {
+		return
+	}
+	if ev.Outcome == Answered || ev.Outcome == NotRun {
+		c.answered++
+	}
+	if c.isTarget(&a.server) && (ev.Outcome == Unclear || ev.Outcome == Answered && !ev.Reply.success()) {
+		c.failed++
+	}
+}
+
+// logExposure logs the counts of each rollout that is not rolled back, at each exposureLogInterval.
+func (s *State) logExposure(now model.Time) {
+	for _, set := range sortedSets(s.canaries) {
+		c := s.canaries[set]
+		if now.Sub(c.loggedAt) < exposureLogInterval || c.rollout.State == model.RolloutRolledBack {
+			continue
+		}
+		c.loggedAt = now
+		s.emit(Log{Line: logline.Line{Level: logline.Info, Message: "counts of a rollout", Fields: []logline.Field{
+			logline.F("set", set), logline.F("target", c.rollout.Target), logline.F("state", c.rollout.State.String()),
+			logline.F("withheld", c.rollout.Withheld), logline.F("requests", c.requests), logline.F("answered", c.answered),
+			logline.F("sent_to_target", c.sent), logline.F("failed_by_target", c.failed), logline.F("target_known", c.targetKnown),
+		}}})
+	}
+}
+
+func sortedSets[T any](m map[model.ReplicaSet]T) []model.ReplicaSet {
+	sets := make([]model.ReplicaSet, 0, len(m))
+	for set := range m {
+		sets = append(sets, set)
+	}
+	slices.Sort(sets)
+	return sets
+}
+
+// logVersions logs a replica set whose servers have several versions although no rollout is known.
+func (s *State) logVersions(set model.ReplicaSet, replicas []model.Replica) {
+	if _, ok := s.canaries[set]; ok {
+		return
+	}
+	for i := range replicas {
+		if replicas[i].Version != replicas[0].Version {
+			s.emit(Log{Line: logline.Line{Level: logline.Info, Message: "set has servers of several versions and no rollout", Fields: []logline.Field{
+				logline.F("set", set), logline.F("version", replicas[0].Version), logline.F("other", replicas[i].Version),
+			}}})
+			return
+		}
+	}
+}
+
 // recordEvidence records the outcome of an attempt as evidence on a rollout in progress. Successes
 // of a cold server are left out, since its latency says nothing about the version.
 func (s *State) recordEvidence(a *attempt, ev AttemptEnded, now model.Time) {
