--- /dev/null
+++ b/internal/rolloutsim/exposure_test.go
@@ -0,0 +1,119 @@
+package rolloutsim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/directory"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+const (
+	orderedAt = model.Time(20 * time.Second)
+	// playedAfter is how long a fleet is played after the deadline of its rollout.
+	playedAfter = 13 * time.Second
+	seeds       = 10
+	// lateFault is the age of the rollout from which a version that turns bad late fails.
+	lateFault = 6 * time.Second
+)
+
+// play starts a rollout and plays it to its end. The function disturb is called right before the order.
+func play(t *testing.T, seed uint64, badFrom time.Duration, badShare float64, disturb func(*fleet)) *observer {
+	t.Helper()
+	f := newFleet(seed, 5, 90)
+	f.badShare = badShare
+	f.runUntil(orderedAt)
+	if disturb != nil {
+		disturb(f)
+	}
+	f.startRollout(badFrom)
+	f.runUntil(orderedAt.Add(f.duration + playedAfter))
+	return &f.seen
+}
+
+func checkExposure(t *testing.T, badFrom time.Duration, disturb func(*fleet)) {
+	t.Helper()
+	for seed := range uint64(seeds) {
+		for _, badShare := range []float64{1, 0.3} {
+			o := play(t, seed, badFrom, badShare, disturb)
+			if v := o.violation(); v != "" {
+				t.Errorf("seed %d, %.1f of the answers are failures: %s", seed, badShare, v)
+			}
+		}
+	}
+}
+
+// Guards against a good version that is not completed by its deadline.
+func TestGoodVersionIsCompleted(t *testing.T) {
+	for seed := range uint64(seeds) {
+		o := play(t, seed, -1, 0, nil)
+		if o.state != model.RolloutCompleted || o.stateAt.Sub(o.ordered) > o.duration {
+			t.Errorf("seed %d: %s after %s", seed, o.state, o.stateAt.Sub(o.ordered))
+		}
+	}
+}
+
+// Guards against a version that fails from the start and gets more than its share.
+func TestExposureOfBadVersion(t *testing.T) { checkExposure(t, 0, nil) }
+
+// Guards against a share that counts requests which reach no server.
+func TestExposureWhileOldServersAreDark(t *testing.T) {
+	checkExposure(t, 0, func(f *fleet) {
+		f.setDark(oldVersion, true)
+		f.after(11*time.Second, func() { f.setDark(oldVersion, false) })
+	})
+}
+
+// Guards against a version that turns bad late and gets all requests between its completion and the deadline.
+func TestExposureOfVersionThatTurnsBadLate(t *testing.T) {
+	for _, badFrom := range []time.Duration{6 * time.Second, 9 * time.Second, 10 * time.Second, 11 * time.Second, 11900 * time.Millisecond} {
+		checkExposure(t, badFrom, nil)
+	}
+}
+
+// Guards against a completion that leaves no room for a load that grows before the deadline.
+func TestExposureWhenLoadGrows(t *testing.T) {
+	checkExposure(t, 11*time.Second, func(f *fleet) {
+		f.after(9*time.Second, func() { f.perSec *= 3 })
+	})
+}
+
+// Guards against VMs that use both versions alike since they do not know the order.
+func TestExposureWithoutTheOrder(t *testing.T) {
+	checkExposure(t, lateFault, func(f *fleet) {
+		for _, v := range f.vms {
+			v.blocked = map[directory.Kind]bool{directory.KindRollouts: true}
+		}
+		f.after(6*time.Second, func() {
+			for _, v := range f.vms {
+				v.blocked = nil
+			}
+		})
+	})
+}
+
+// Guards against VMs that serve callers after a start before they have read the rollouts.
+func TestExposureAfterStartsWithoutTheOrder(t *testing.T) {
+	checkExposure(t, lateFault, func(f *fleet) {
+		f.after(time.Second, func() {
+			for _, v := range f.vms {
+				v.blocked = map[directory.Kind]bool{directory.KindRollouts: true}
+				v.restart(500 * time.Millisecond)
+			}
+		})
+	})
+}
+
+// Guards against counters of the allowance that start anew with each process.
+func TestExposureWithRestartsInSeries(t *testing.T) {
+	for _, period := range []time.Duration{4500 * time.Millisecond, 11 * time.Second} {
+		checkExposure(t, 11*time.Second, func(f *fleet) {
+			f.duration = 5 * period
+			for i, v := range f.vms {
+				for k := range 4 {
+					f.after(time.Duration(k)*period+time.Duration(i)*300*time.Millisecond, func() { v.restart(200 * time.Millisecond) })
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rolloutsim/fleet_test.go
@@ -0,0 +1,214 @@
+// Package rolloutsim plays rollouts on the reducers of several entry VMs, on virtual time, and counts
+// the requests that reach each version as an outside observer does.
+package rolloutsim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/directory"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+const (
+	set         = model.ReplicaSet("files")
+	oldVersion  = model.VersionID("v1")
+	newVersion  = model.VersionID("v2")
+	messageTime = time.Millisecond
+	dialTimeout = 250 * time.Millisecond
+	// canaryShare and canarySlack are the allowance of the target version.
+	canaryShare = 0.1
+	canarySlack = 50
+)
+
+// task is a function that the fleet calls at a time.
+type task struct {
+	at  model.Time
+	seq int
+	run func()
+}
+
+type tasks []task
+
+func (t tasks) Len() int { return len(t) }
+func (t tasks) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
+}
+func (t tasks) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *tasks) Push(x any)   { *t = append(*t, x.(task)) }
+func (t *tasks) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return last
+}
+
+// fleet is a deployment of entry VMs with a store and the servers of one replica set.
+type fleet struct {
+	rng     *rand.Rand
+	now     model.Time
+	tasks   tasks
+	seq     int
+	store   *store
+	vms     []*vm
+	servers map[model.BackendServerID]*server
+	perSec  float64 // requests of all callers, a second
+	// badShare is the share of failures among the answers of a bad version.
+	badShare float64
+	duration time.Duration // of a rollout
+	lastReq  int
+	seen     observer
+}
+
+// server answers after a few milliseconds, unless it is dark.
+type server struct {
+	value   model.Replica
+	dark    bool
+	badFrom model.Time // from then on it fails; model.Never if it is sound
+}
+
+func newFleet(seed uint64, vms int, perSec float64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), servers: make(map[model.BackendServerID]*server), perSec: perSec, badShare: 1, duration: 12 * time.Second}
+	f.store = &store{fleet: f, objects: make(map[directory.Kind]map[string]directory.Change)}
+	route := model.EntryRoute{
+		Name: "read", Host: "shop.example", PathPrefix: "/", Idempotent: true, Timeout: 2 * time.Second,
+		Target: 200 * time.Millisecond, MaxAttempts: 2, Split: []model.WeightedSet{{Set: set, Weight: 1}},
+	}
+	f.store.put(directory.KindConfig, "main", func(rev uint64) directory.Value {
+		return &model.EntryConfig{Version: 1, Revision: rev, Routes: []model.EntryRoute{route}}
+	})
+	f.addServers(oldVersion, 2, model.Never)
+	for i := range vms {
+		v := &vm{fleet: f, name: model.VM(fmt.Sprintf("vm%d", i)), weight: 0.5 + f.rng.Float64()}
+		f.vms = append(f.vms, v)
+		v.start()
+	}
+	f.after(10*time.Second, f.sendRequest)
+	return f
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.tasks, task{at: f.now.Add(d), seq: f.seq, run: run})
+}
+
+// runUntil carries out all tasks up to a time.
+func (f *fleet) runUntil(end model.Time) {
+	for len(f.tasks) > 0 && f.tasks[0].at <= end {
+		t := heap.Pop(&f.tasks).(task)
+		f.now = t.at
+		t.run()
+	}
+	f.now = end
+}
+
+// sendRequest sends one request to a running VM and schedules the next one.
+func (f *fleet) sendRequest() {
+	f.after(time.Duration(f.rng.ExpFloat64()/f.perSec*float64(time.Second)), f.sendRequest)
+	total := 0.0
+	for _, v := range f.vms {
+		if v.running {
+			total += v.weight
+		}
+	}
+	x := f.rng.Float64() * total
+	for _, v := range f.vms {
+		if !v.running {
+			continue
+		}
+		if x -= v.weight; x < 0 {
+			v.request()
+			return
+		}
+	}
+}
+
+func (f *fleet) addServers(version model.VersionID, n int, badFrom model.Time) {
+	for i := range n {
+		r := model.Replica{
+			ID: model.BackendServerID(fmt.Sprintf("%s-%d", version, i)), Set: set, Address: fmt.Sprintf("%s-%d:1", version, i),
+			Version: version, Slots: 3, StartedAt: time.UnixMilli(int64(time.Duration(f.now)/time.Millisecond) + 1), Sequence: 1,
+		}
+		f.servers[r.ID] = &server{value: r, badFrom: badFrom}
+		f.store.put(directory.KindReplicas, string(r.ID), func(uint64) directory.Value { return &r })
+	}
+}
+
+func (f *fleet) setDark(version model.VersionID, dark bool) {
+	for _, s := range f.servers {
+		if s.value.Version == version {
+			s.dark = dark
+		}
+	}
+}
+
+// startRollout starts servers of the target version, which fail from the age badFrom on unless it is
+// negative, and orders the rollout.
+func (f *fleet) startRollout(badFrom time.Duration) {
+	bad := model.Never
+	if badFrom >= 0 {
+		bad = f.now.Add(badFrom)
+	}
+	f.addServers(newVersion, 2, bad)
+	f.seen = observer{fleet: f, ordered: f.now, duration: f.duration, requests: make(map[int]bool)}
+	f.store.put(directory.KindRollouts, string(set), func(rev uint64) directory.Value {
+		return &model.Rollout{Name: string(set), Set: set, Target: newVersion, Duration: f.duration, Revision: rev, Created: rev}
+	})
+}
+
+// observer counts what reaches the servers from the order on.
+type observer struct {
+	fleet    *fleet
+	ordered  model.Time
+	duration time.Duration
+	requests map[int]bool // requests that have reached a server before the deadline
+	target   int          // of these, requests that VMs in touch sent to the target version
+	bad      int          // failures of the target version
+	badLimit model.Time   // time of its 50th failure, 0 before
+	late     int          // requests sent to it later than rollbackBound after that
+	state    model.RolloutState
+	stateAt  model.Time
+}
+
+const (
+	// inTouchAfter is how long a VM runs before its requests count.
+	inTouchAfter  = 4 * time.Second
+	rollbackBound = 5 * time.Second
+	maxBadAnswers = 50
+)
+
+func (o *observer) arrived(v *vm, request int, version model.VersionID) {
+	if o.requests == nil {
+		return // before the order
+	}
+	now := o.fleet.now
+	if o.badLimit != 0 && version == newVersion && now.Sub(o.badLimit) > rollbackBound {
+		o.late++
+	}
+	if now.Sub(o.ordered) > o.duration {
+		return
+	}
+	o.requests[request] = true
+	if version == newVersion && now.Sub(v.startedAt) >= inTouchAfter {
+		o.target++
+	}
+}
+
+func (o *observer) answeredBadly() {
+	if o.bad++; o.bad == maxBadAnswers {
+		o.badLimit = o.fleet.now
+	}
+}
+
+// violation describes how the allowance was exceeded, or returns "".
+func (o *observer) violation() string {
+	if allowed := canaryShare*float64(len(o.requests)) + canarySlack; float64(o.target) > allowed {
+		return fmt.Sprintf("the target version got %d of %d requests, %.0f allowed, result %s", o.target, len(o.requests), allowed, o.state)
+	}
+	if o.late > 0 {
+		return fmt.Sprintf("the target version got %d requests later than %s after its 50th failure, result %s", o.late, rollbackBound, o.state)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/rolloutsim/store_test.go
@@ -0,0 +1,108 @@
+package rolloutsim
+
+import (
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/directory"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// storeTime is the time that the store takes for an answer. A read without an answer ends after
+// readTimeout.
+const (
+	storeTime   = 4 * time.Millisecond
+	readTimeout = 2 * time.Second
+)
+
+// store holds the objects of all kinds with one revision counter.
+type store struct {
+	fleet    *fleet
+	revision uint64
+	objects  map[directory.Kind]map[string]directory.Change
+	waiting  []*watch
+}
+
+type watch struct {
+	vm    *vm
+	kind  directory.Kind
+	since uint64
+	done  bool
+}
+
+func (s *store) put(kind directory.Kind, name string, value func(revision uint64) directory.Value) {
+	s.revision++
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]directory.Change)
+	}
+	s.objects[kind][name] = directory.Change{Name: name, Revision: s.revision, Value: value(s.revision)}
+	waiting := s.waiting
+	s.waiting = nil
+	for _, w := range waiting {
+		s.answer(w, w.kind == kind)
+	}
+}
+
+// changes returns the objects of a kind that have changed after a revision.
+func (s *store) changes(kind directory.Kind, since uint64) []directory.Change {
+	var list []directory.Change
+	for _, c := range s.objects[kind] {
+		if c.Revision > since {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+func (s *store) list(v *vm, kind directory.Kind) {
+	if v.blocked[kind] {
+		v.later(readTimeout, func() { v.reduceControl(directory.ReadFailed{Kind: kind, Cause: "timeout"}) })
+		return
+	}
+	v.later(storeTime, func() {
+		v.reduceControl(directory.Listed{Kind: kind, Revision: s.revision, Changes: s.changes(kind, 0)})
+	})
+}
+
+func (s *store) watch(v *vm, e directory.Watch) {
+	w := &watch{vm: v, kind: e.Kind, since: e.Since}
+	s.answer(w, false)
+	v.later(e.MaxWait, func() { s.answer(w, true) })
+}
+
+// answer answers a watch if there are changes or its time is over, and otherwise keeps it waiting.
+func (s *store) answer(w *watch, now bool) {
+	changes := s.changes(w.kind, w.since)
+	switch {
+	case w.done:
+	case w.vm.blocked[w.kind]:
+		w.done = true
+		w.vm.later(readTimeout, func() { w.vm.reduceControl(directory.ReadFailed{Kind: w.kind, Cause: "timeout"}) })
+	case now || len(changes) > 0:
+		w.done = true
+		revision := s.revision
+		w.vm.later(storeTime, func() {
+			w.vm.reduceControl(directory.Changed{Kind: w.kind, Revision: revision, Changes: changes})
+		})
+	default:
+		s.waiting = append(s.waiting, w)
+	}
+}
+
+// writeState writes the state of a rollout if its object has not changed.
+func (s *store) writeState(v *vm, e directory.WriteRolloutState) {
+	v.later(storeTime, func() {
+		cause := ""
+		old, ok := s.objects[directory.KindRollouts][e.Rollout.Name]
+		if ok && old.Revision == e.Rollout.Revision {
+			s.put(directory.KindRollouts, e.Rollout.Name, func(rev uint64) directory.Value {
+				r := *old.Value.(*model.Rollout)
+				r.State, r.Revision = e.State, rev
+				return &r
+			})
+			s.fleet.seen.state, s.fleet.seen.stateAt = e.State, s.fleet.now
+		} else {
+			cause = "conflict"
+		}
+		v.reduceControl(directory.RolloutWriteEnded{Name: e.Rollout.Name, Cause: cause})
+	})
+}
--- /dev/null
+++ b/internal/rolloutsim/vm_test.go
@@ -0,0 +1,228 @@
+package rolloutsim
+
+import (
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/directory"
+	"github.com/gooseberrylock/gooseberrylock/core/dispatch"
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+// vm is an entry VM: both reducers and the streams to the VMs that it follows.
+type vm struct {
+	fleet     *fleet
+	name      model.VM
+	weight    float64 // share of the requests, relative to the other VMs
+	running   bool
+	boot      model.Boot
+	startedAt model.Time
+	control   *directory.State
+	traffic   *dispatch.State
+	upstreams map[model.VM]uint64 // IDs under which this VM follows others
+	followers map[uint64]*vm
+	requests  map[model.QueryID]int
+	attempts  map[model.AttemptID]dispatch.Send
+	lastQuery model.QueryID
+	// controlWake and trafficWake are the numbers of the pending wake-ups.
+	controlWake, trafficWake int
+	// blocked are the kinds that the store does not serve to this VM.
+	blocked map[directory.Kind]bool
+}
+
+// budgetWindow is the window of the retry budget.
+const budgetWindow = 10 * time.Second
+
+func (v *vm) start() {
+	v.boot++
+	v.running = true
+	v.startedAt = v.fleet.now
+	v.control = directory.New(directory.DefaultConfig(v.name, v.boot))
+	v.traffic = dispatch.New(dispatch.Config{
+		Self: v.name, Seed: uint64(v.boot),
+		Budget: dispatch.BudgetConfig{Ratio: 0.2, Burst: 50, Window: budgetWindow},
+		Canary: dispatch.CanaryConfig{Share: canaryShare, Slack: canarySlack},
+	})
+	v.upstreams = make(map[model.VM]uint64)
+	v.followers = make(map[uint64]*vm)
+	v.requests = make(map[model.QueryID]int)
+	v.attempts = make(map[model.AttemptID]dispatch.Send)
+	v.reduceControl(directory.Started{})
+}
+
+// restart ends the process and starts it again after a time.
+func (v *vm) restart(down time.Duration) {
+	v.running = false
+	for name := range v.upstreams {
+		v.unfollow(name)
+	}
+	for id, follower := range v.followers {
+		delete(v.followers, id)
+		delete(follower.upstreams, v.name)
+		follower.later(0, func() { follower.reduceControl(directory.FollowEnded{From: v.name, Cause: "closed"}) })
+	}
+	v.fleet.after(down, v.start)
+}
+
+// later calls run after a time, unless the process has ended by then.
+func (v *vm) later(d time.Duration, run func()) {
+	boot := v.boot
+	v.fleet.after(d, func() {
+		if v.running && v.boot == boot {
+			run()
+		}
+	})
+}
+
+// wakeAt calls run at a time of the process's clock, unless the pending wake-up has another number by
+// then. It returns the new number.
+func (v *vm) wakeAt(at model.Time, pending *int, run func()) int {
+	v.fleet.seq++
+	number := v.fleet.seq
+	v.later(max(at.Sub(v.now()), 0), func() {
+		if *pending == number {
+			run()
+		}
+	})
+	return number
+}
+
+// now returns the time since the start of the process.
+func (v *vm) now() model.Time { return model.Time(v.fleet.now.Sub(v.startedAt)) }
+
+func (v *vm) reduceControl(ev directory.Event) {
+	for _, e := range v.control.Reduce(ev, v.now()) {
+		v.performControl(e)
+	}
+}
+
+func (v *vm) performControl(e directory.Effect) {
+	switch e := e.(type) {
+	case directory.List:
+		v.fleet.store.list(v, e.Kind)
+	case directory.Watch:
+		v.fleet.store.watch(v, e)
+	case directory.Register:
+		v.fleet.store.put(directory.KindVMs, string(v.name), func(uint64) directory.Value {
+			return &model.EntryVM{Name: v.name, Address: string(v.name), Boot: v.boot}
+		})
+		v.later(messageTime, func() { v.reduceControl(directory.RegistrationEnded{}) })
+	case directory.Follow:
+		v.later(messageTime, func() { v.follow(e.VM) })
+	case directory.Unfollow:
+		v.unfollow(e.VM)
+	case directory.SendUpdate:
+		for id, follower := range v.followers {
+			if e.Follower == 0 || e.Follower == id {
+				follower.later(messageTime, func() {
+					follower.reduceControl(directory.UpstreamStatusReceived{From: v.name, Ages: e.Ages, Rollouts: e.Rollouts, Update: e.Update})
+				})
+			}
+		}
+	case directory.SendEvidence:
+		evidence := append([]model.MoveEvidence(nil), e.Evidence...)
+		for i := range evidence {
+			evidence[i].VM, evidence[i].Boot = v.name, v.boot
+		}
+		for _, upstream := range v.fleet.vms {
+			if _, ok := v.upstreams[upstream.name]; ok {
+				upstream.later(messageTime, func() { upstream.reduceControl(directory.FollowerEvidenceReceived{Evidence: evidence}) })
+			}
+		}
+	case directory.WriteRolloutState:
+		v.fleet.store.writeState(v, e)
+	case directory.PublishView:
+		v.reduceTraffic(dispatch.ViewPublished{View: e.View})
+	case directory.Wake:
+		v.controlWake = v.wakeAt(e.At, &v.controlWake, func() { v.reduceControl(directory.Woken{}) })
+	}
+}
+
+func (v *vm) follow(name model.VM) {
+	for _, upstream := range v.fleet.vms {
+		if upstream.name != name {
+			continue
+		}
+		if !upstream.running {
+			v.reduceControl(directory.FollowEnded{From: name, Cause: "refused"})
+			return
+		}
+		v.fleet.seq++
+		id := uint64(v.fleet.seq)
+		v.upstreams[name] = id
+		upstream.followers[id] = v
+		upstream.reduceControl(directory.FollowerJoined{Follower: id})
+	}
+}
+
+func (v *vm) unfollow(name model.VM) {
+	id, ok := v.upstreams[name]
+	if !ok {
+		return
+	}
+	delete(v.upstreams, name)
+	for _, upstream := range v.fleet.vms {
+		if _, ok := upstream.followers[id]; ok {
+			delete(upstream.followers, id)
+			upstream.later(0, func() { upstream.reduceControl(directory.FollowerLeft{Follower: id}) })
+		}
+	}
+}
+
+// request passes one request of a caller to the VM, unless the VM is not ready.
+func (v *vm) request() {
+	if !v.control.Ready() {
+		return
+	}
+	v.fleet.lastReq++
+	v.lastQuery++
+	v.requests[v.lastQuery] = v.fleet.lastReq
+	v.reduceTraffic(dispatch.RequestReceived{Query: v.lastQuery, Host: "shop.example", Path: "/q", CallerTimeout: 2 * time.Second})
+}
+
+func (v *vm) reduceTraffic(ev dispatch.Event) {
+	effects := append([]dispatch.Effect(nil), v.traffic.Reduce(ev, v.now())...)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case dispatch.Send:
+			v.send(e)
+		case dispatch.Abort:
+			v.endAttempt(e.Attempt, dispatch.Aborted, nil)
+		case dispatch.Wake:
+			v.trafficWake = v.wakeAt(e.At, &v.trafficWake, func() { v.reduceTraffic(dispatch.Woken{}) })
+		case dispatch.ReportEvidence:
+			v.later(0, func() { v.reduceControl(directory.LocalEvidenceReceived{Evidence: e.Evidence}) })
+		}
+	}
+}
+
+// send plays one attempt. A dark server does not answer the opening of a connection.
+func (v *vm) send(e dispatch.Send) {
+	v.attempts[e.Attempt] = e
+	s := v.fleet.servers[e.Server.ID]
+	if s.dark {
+		v.later(dialTimeout, func() { v.endAttempt(e.Attempt, dispatch.NotSent, nil) })
+		return
+	}
+	request := v.requests[e.Query]
+	v.later(messageTime, func() {
+		v.fleet.seen.arrived(v, request, s.value.Version)
+		bad := v.fleet.now >= s.badFrom && v.fleet.rng.Float64() < v.fleet.badShare
+		work := 5*time.Millisecond + time.Duration(v.fleet.rng.ExpFloat64()*float64(5*time.Millisecond))
+		v.later(work, func() {
+			reply := &dispatch.Reply{Status: 200, Signature: "s"}
+			if bad {
+				reply = &dispatch.Reply{Status: 500, Signature: "s"}
+				v.fleet.seen.answeredBadly()
+			}
+			v.endAttempt(e.Attempt, dispatch.Answered, reply)
+		})
+	})
+}
+
+func (v *vm) endAttempt(id model.AttemptID, outcome dispatch.Outcome, reply *dispatch.Reply) {
+	if _, ok := v.attempts[id]; !ok {
+		return
+	}
+	delete(v.attempts, id)
+	v.later(0, func() { v.reduceTraffic(dispatch.AttemptEnded{Attempt: id, Outcome: outcome, Reply: reply}) })
+}
