--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -64,6 +64,7 @@
 	done          bool       // has a result, or has failed
 	result        *Reply
 	lastFailure   *Reply // last reply that was not a success
+	counted       bool   // the request counts for the limit of a rollout
 	noBudget      bool   // an attempt was not sent because the retry budget was used up
 	cause         string // why there is no result yet; for logs and refusals
 }
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -48,8 +48,7 @@
 type canary struct {
 	rollout     model.Rollout
 	order       string
-	requests    float64 // to the replica set since the order
-	answered    float64 // attempts that a server of the set has answered, refusals included
+	requests    float64 // to the replica set since the order that a server has answered or refused
 	sent        float64 // attempts sent to servers of the target version
 	failed      float64 // attempts that a server of the target version has failed
 	loggedAt    model.Time
@@ -147,15 +146,6 @@
 	return s.pickEligible(q, sh, now, c.isTarget)
 }
 
-// countRequest counts a request to a replica set, for the limits that are proportional to the
-// number of requests.
-func (s *State) countRequest(set model.ReplicaSet, now model.Time) {
-	s.budgetOf(set).countRequest(now)
-	if c, ok := s.canaries[set]; ok {
-		c.requests++
-	}
-}
-
 // countCanary counts an attempt if it is sent to a server of a rollout's target version.
 func (s *State) countCanary(r *model.Replica) {
 	if c, ok := s.canaries[r.Set]; ok && c.isTarget(r) {
@@ -164,14 +154,17 @@
 	}
 }
 
-// countOutcome counts the outcome of an attempt for the log lines of a rollout.
+// countOutcome counts the outcome of an attempt for a rollout. A request counts once, and only if a
+// server has answered it: the limit is a share of the requests that reach the replica set, and no
+// other outcome tells that a request has reached it.
 func (s *State) countOutcome(a *attempt, ev AttemptEnded) {
 	c, ok := s.canaries[a.server.Set]
 	if !ok {
 		return
 	}
-	if ev.Outcome == Answered || ev.Outcome == NotRun {
-		c.answered++
+	if sh := &a.query.shards[a.shard]; (ev.Outcome == Answered || ev.Outcome == NotRun) && !sh.counted {
+		sh.counted = true
+		c.requests++
 	}
 	if c.isTarget(&a.server) && (ev.Outcome == Unclear || ev.Outcome == Answered && !ev.Reply.success()) {
 		c.failed++
@@ -188,7 +181,7 @@
 		c.loggedAt = now
 		s.emit(Log{Line: logline.Line{Level: logline.Info, Message: "counts of a rollout", Fields: []logline.Field{
 			logline.F("set", set), logline.F("target", c.rollout.Target), logline.F("state", c.rollout.State.String()),
-			logline.F("withheld", c.rollout.Withheld), logline.F("requests", c.requests), logline.F("answered", c.answered),
+			logline.F("withheld", c.rollout.Withheld), logline.F("requests", c.requests),
 			logline.F("sent_to_target", c.sent), logline.F("failed_by_target", c.failed), logline.F("target_known", c.targetKnown),
 		}}})
 	}
