--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -165,10 +165,14 @@
 	return s
 }
 
-// Ready reports whether the configuration, the replicas and the zones that are out have been read,
-// which is enough to serve callers.
+// Ready reports whether everything that decides to which servers a request may be sent has been read.
 func (s *State) Ready() bool {
-	return s.config != nil && s.reads[KindReplicas].revision > 0 && s.reads[KindZonesOut].revision > 0
+	for _, k := range confirmedKinds {
+		if s.reads[k].revision == 0 {
+			return false
+		}
+	}
+	return s.config != nil
 }
 
 // KnownRevision returns the revision up to which the cached objects of a kind are complete. It is 0
@@ -293,7 +297,7 @@
 		ServingVMs:  s.servingVMs(now),
 		Rollouts:    s.publishedRollouts(),
 		ConfirmedAt: s.reads[KindConfig].confirmedAt,
-		Unconfirmed: s.unconfirmed(),
+		Unconfirmed: s.unconfirmed() || !s.Ready(),
 	}
 	for _, name := range sortedKeys(s.replicas) {
 		r := s.replicas[name].value
@@ -351,8 +355,8 @@
 	return max(int(usableConnShare*float64(conns)/connsPerSender), 1)
 }
 
-// ViewAge returns the largest of the ages of the configuration, the replicas and the zones that
-// are out. These kinds decide to which servers a request may be sent.
+// ViewAge returns the largest of the ages of the kinds that decide to which servers a request may be
+// sent.
 func (s *State) ViewAge(now model.Time) time.Duration {
 	age := time.Duration(0)
 	for _, k := range confirmedKinds {
--- a/core/directory/resume.go
+++ b/core/directory/resume.go
@@ -12,7 +12,7 @@
 const confirmTimeout = 700 * time.Millisecond
 
 // confirmedKinds decide to which servers a request may be sent.
-var confirmedKinds = [...]Kind{KindConfig, KindReplicas, KindZonesOut}
+var confirmedKinds = [...]Kind{KindConfig, KindReplicas, KindZonesOut, KindRollouts}
 
 // resumed makes the view unconfirmed until the store has answered a list of each of confirmedKinds.
 // Answers to reads that began before, and messages of upstreams, may have waited in a socket during
--- a/core/directory/resume_test.go
+++ b/core/directory/resume_test.go
@@ -29,6 +29,8 @@
 	h.reduce(Listed{Kind: KindReplicas, Revision: 9})
 	is.True(h.view.Unconfirmed)
 	h.reduce(Listed{Kind: KindZonesOut, Revision: 9})
+	is.True(h.view.Unconfirmed)
+	h.reduce(Listed{Kind: KindRollouts, Revision: 9})
 	is.True(!h.view.Unconfirmed)
 	is.Equal(h.serverIDs(), "s1 ") // kept: its entry may have expired while the store was not heard
 	is.True(h.state.ViewAge(h.now) < time.Second)
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -95,7 +95,7 @@
 	case s.view.Config == nil:
 		return "no configuration is known yet"
 	case s.unconfirmed:
-		return "the VM was paused"
+		return "the view is not confirmed yet"
 	case s.view.Config.Version < ev.MinVersion:
 		return "the configuration is older"
 	case ev.ViewAge > ev.EntryViewAge+maxSenderViewLag:
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -97,7 +97,7 @@
 		return
 	}
 	if s.unconfirmed {
-		s.refuse(q, CodeNotRun, "this VM was paused, and its view is not confirmed yet", now)
+		s.refuse(q, CodeNotRun, "the view of this VM is not confirmed yet", now)
 		return
 	}
 	s.queries[q.id] = q
--- a/internal/rolloutsim/vm_test.go
+++ b/internal/rolloutsim/vm_test.go
@@ -212,6 +212,9 @@
 		v.fleet.seen.arrived(v, request, s.value.Version)
 		bad := v.fleet.now >= s.badFrom && v.fleet.rng.Float64() < v.fleet.badShare
 		work := 5*time.Millisecond + time.Duration(v.fleet.rng.ExpFloat64()*float64(5*time.Millisecond))
+		if s.slow {
+			work += slowWork
+		}
 		v.later(work, func() {
 			reply := &dispatch.Reply{Status: 200, Signature: "s"}
 			if bad {
--- a/model/entry.go
+++ b/model/entry.go
@@ -193,7 +193,8 @@
 	Rollouts map[ReplicaSet]Rollout
 	// ConfirmedAt is the time at which the store last confirmed the configuration.
 	ConfirmedAt Time
-	// Unconfirmed is set after this VM was paused, until it has learnt what was withdrawn meanwhile.
+	// Unconfirmed is set after this VM has started or was paused, until it has learnt what decides
+	// to which servers a request may be sent.
 	// No request is sent with such a view.
 	Unconfirmed bool
 }
