--- a/core/directory/apply.go
+++ b/core/directory/apply.go
@@ -76,7 +76,7 @@
 		return
 	}
 	s.replicas[c.Name] = &replica{value: *r}
-	s.viewChanged = true
+	s.viewChanged, s.replicasChanged = true, true
 	if !known || old.value.Draining != r.Draining || !old.value.StartedAt.Equal(r.StartedAt) {
 		s.log(logline.Info, "server", logline.F("server", r.ID), logline.F("set", r.Set), logline.F("version", r.Version), logline.F("address", r.Address),
 			logline.F("zone", r.Zone), logline.F("draining", r.Draining), logline.F("revision", c.Revision))
@@ -94,7 +94,7 @@
 		return
 	}
 	delete(s.replicas, c.Name)
-	s.viewChanged = true
+	s.viewChanged, s.replicasChanged = true, true
 	s.log(logline.Info, "server is gone", logline.F("server", c.Name), logline.F("set", old.value.Set), logline.F("revision", c.Revision))
 }
 
@@ -108,7 +108,7 @@
 	for _, name := range sortedKeys(s.replicas) {
 		if s.replicas[name].expired {
 			delete(s.replicas, name)
-			s.viewChanged = true
+			s.viewChanged, s.replicasChanged = true, true
 			s.log(logline.Info, "server removed: it did not register again after the store outage", logline.F("server", name))
 		}
 	}
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -112,8 +112,12 @@
 	replicas map[string]*replica // by object name
 	zonesOut map[string]bool
 	rollouts map[string]*rollout // by object name
-	vms      map[string]*knownVM
-	vmOrder  []model.EntryVM // cache of rankedVMs; nil after a change of vms
+	// versions holds the versions of all servers. openVersions are those that are not accepted.
+	versions        map[version]*versionState
+	openVersions    map[version]bool
+	replicasChanged bool
+	vms             map[string]*knownVM
+	vmOrder         []model.EntryVM // cache of rankedVMs; nil after a change of vms
 
 	upstreams      map[model.VM]*upstream
 	unreachable    map[model.VM]unreachableVM
@@ -149,14 +153,16 @@
 // New returns a state with an empty cache.
 func New(cfg Config) *State {
 	s := &State{
-		cfg:         cfg,
-		replicas:    make(map[string]*replica),
-		zonesOut:    make(map[string]bool),
-		rollouts:    make(map[string]*rollout),
-		vms:         make(map[string]*knownVM),
-		upstreams:   make(map[model.VM]*upstream),
-		unreachable: make(map[model.VM]unreachableVM),
-		followers:   make(map[uint64]bool),
+		cfg:          cfg,
+		replicas:     make(map[string]*replica),
+		zonesOut:     make(map[string]bool),
+		rollouts:     make(map[string]*rollout),
+		versions:     make(map[version]*versionState),
+		openVersions: make(map[version]bool),
+		vms:          make(map[string]*knownVM),
+		upstreams:    make(map[model.VM]*upstream),
+		unreachable:  make(map[model.VM]unreachableVM),
+		followers:    make(map[uint64]bool),
 	}
 	for k := range s.objects {
 		s.objects[k] = make(map[string]Change)
@@ -223,6 +229,7 @@
 		s.sendStatus(now)
 		s.register(now)
 	}
+	s.updateVersions(now)
 	if s.viewChanged {
 		s.publish(now)
 	}
--- a/core/directory/rollouts.go
+++ b/core/directory/rollouts.go
@@ -336,7 +336,7 @@
 	return next
 }
 
-// publishedRollouts returns the newest rollout of each replica set.
+// publishedRollouts returns the newest rollout of each replica set, or the presumed one.
 func (s *State) publishedRollouts() map[model.ReplicaSet]model.Rollout {
 	published := make(map[model.ReplicaSet]model.Rollout)
 	for _, name := range sortedKeys(s.rollouts) {
@@ -345,5 +345,6 @@
 			published[order.Set] = order
 		}
 	}
+	s.presumedRollouts(published)
 	return published
 }
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -112,7 +112,7 @@
 // earlier process of the same VM may have used it.
 func (s *State) canaryAllowed(c *canary, r *route, now model.Time) bool {
 	limit := canaryShare * s.cfg.Canary.Share * c.requests
-	if time.Duration(now) >= s.cfg.Budget.Window {
+	if time.Duration(now) >= s.cfg.Budget.Window && !c.rollout.Presumed {
 		limit += canarySlackShare * s.cfg.Canary.Slack / float64(s.sendingVMs(r))
 	}
 	return c.sent+1 <= limit
--- a/model/entry.go
+++ b/model/entry.go
@@ -106,6 +106,9 @@
 	// Withheld is set when the VMs have found the target version to be worse. The target version
 	// then receives no requests, even if the state in the store is not yet RolloutRolledBack.
 	Withheld bool
+	// Presumed means that no order is known: the set has got servers of another version, and an order
+	// for them may follow. Requests to the version are bounded as in a rollout, without the slack.
+	Presumed bool
 }
 
 // Order returns an identifier of the order. A new object or another target version for the same
