--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -134,6 +134,7 @@
 	startedAt          model.Time
 	resumedAt          model.Time // end of the last pause of this VM, 0 if there was none
 	viewChanged        bool
+	initialUpdate      bool // the update that is being applied is the first of its kind
 	effects            []Effect
 }
 
--- a/core/directory/reads.go
+++ b/core/directory/reads.go
@@ -198,6 +198,7 @@
 		changes = append(s.impliedRemovals(u), changes...)
 	}
 	s.viewChanged = s.viewChanged || r.revision == 0
+	s.initialUpdate = r.revision == 0
 	r.revision = u.Revision
 	s.apply(u.Kind, changes, now)
 	if len(s.followers) > 0 {
--- a/core/directory/rollouts.go
+++ b/core/directory/rollouts.go
@@ -74,6 +74,7 @@
 	evidence       *moves.EvidenceAggregate
 	usage          usageTotal
 	orderedAt      model.Time
+	seenFromOrder  bool               // see model.Rollout.SeenFromOrder
 	nextState      model.RolloutState // state that this VM would write next
 	nextStateSince model.Time
 	writing        bool
@@ -94,12 +95,17 @@
 		return
 	}
 	if !known || old.orderID != r.Order() {
-		old = &rollout{orderID: r.Order(), evidence: moves.NewEvidenceAggregate(r.Order(), s.cfg.Self, s.cfg.Boot), orderedAt: now}
+		old = &rollout{
+			orderID:  r.Order(),
+			evidence: moves.NewEvidenceAggregate(r.Order(), s.cfg.Self, s.cfg.Boot), orderedAt: now,
+			seenFromOrder: !s.initialUpdate,
+		}
 		s.rollouts[c.Name] = old
 	}
 	withheld := old.order.Withheld
 	old.order = *r
 	old.order.Withheld = withheld && !r.State.Final()
+	old.order.SeenFromOrder = old.seenFromOrder
 	s.viewChanged = true
 	s.log(logline.Info, "rollout", logline.F("set", r.Set), logline.F("target", r.Target), logline.F("state", r.State.String()),
 		logline.F("revision", c.Revision), logline.F("age", now.Sub(old.orderedAt)), logline.F("pairs", old.evidence.Pairs()))
--- a/core/directory/usage.go
+++ b/core/directory/usage.go
@@ -101,6 +101,9 @@
 		return false
 	}
 	used := r.usage.sum()
-	limit := s.cfg.Canary.Share*float64(used.Requests) + s.cfg.Canary.Slack
+	limit := s.cfg.Canary.Share * float64(used.Requests)
+	if r.seenFromOrder {
+		limit += s.cfg.Canary.Slack // otherwise VMs may have used it before this process counted
+	}
 	return float64(used.Sent)+loadGrowth*rate*remaining.Seconds() <= (1-usageReserve)*limit
 }
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -51,15 +51,20 @@
 	oldFailed   float64 // attempts that such a server has failed
 	loggedAt    model.Time
 	targetKnown bool // the view has servers of the target version
+	// absent means that the view has no rollout of the set any more. The counts are kept for the case
+	// that the same order returns.
+	absent bool
 	// completedAt is when a view first showed the rollout as completed; 0 before.
 	completedAt model.Time
 }
 
-// applyRollouts applies the rollouts of a new view. The counts of a rollout are kept until its
-// order changes or it is no longer in the view.
+// applyRollouts applies the rollouts of a new view. The counts of a rollout are kept until its set gets
+// another order or has no server any more.
 func (s *State) applyRollouts(now model.Time) {
-	for set := range s.canaries {
-		if _, ok := s.view.Rollouts[set]; !ok {
+	for set, c := range s.canaries {
+		_, ok := s.view.Rollouts[set]
+		c.absent = !ok
+		if !ok && len(s.view.Replicas[set]) == 0 {
 			delete(s.canaries, set)
 		}
 	}
@@ -90,11 +95,16 @@
 func (c *canary) isTarget(r *model.Replica) bool { return r.Version == c.rollout.Target }
 
 // inProgress reports whether both versions are in use.
-func (c *canary) inProgress() bool { return !c.rollout.State.Final() && !c.rollout.Withheld }
+func (c *canary) inProgress() bool {
+	return !c.absent && !c.rollout.State.Final() && !c.rollout.Withheld
+}
 
 // excludes reports whether a server gets no requests because of its version. After completion,
 // servers of other versions stay in use if there is none of the target version.
 func (c *canary) excludes(r *model.Replica, now model.Time) bool {
+	if c.absent {
+		return false
+	}
 	if c.rollout.Withheld || c.rollout.State == model.RolloutRolledBack {
 		return c.isTarget(r)
 	}
@@ -107,12 +117,12 @@
 	return ok && c.excludes(r, now)
 }
 
-// canaryAllowed reports whether this VM may send another request to the target version. A VM
-// that has run for less than a window of the retry budget has no share of the slack, since an
-// earlier process of the same VM may have used it.
-func (s *State) canaryAllowed(c *canary, r *route, now model.Time) bool {
+// canaryAllowed reports whether this VM may send another request to the target version. A process that
+// has not run since the order has no share of the slack, since an earlier process of the same VM may
+// have used it.
+func (s *State) canaryAllowed(c *canary, r *route) bool {
 	limit := canaryShare * s.cfg.Canary.Share * c.requests
-	if time.Duration(now) >= s.cfg.Budget.Window && !c.rollout.Presumed {
+	if c.rollout.SeenFromOrder {
 		limit += canarySlackShare * s.cfg.Canary.Slack / float64(s.sendingVMs(r))
 	}
 	return c.sent+1 <= limit
@@ -130,7 +140,7 @@
 	if !ok || !c.inProgress() {
 		return s.pickEligible(q, sh, now, func(r *model.Replica) bool { return !s.excluded(r, now) })
 	}
-	allowed := s.canaryAllowed(c, q.route, now)
+	allowed := s.canaryAllowed(c, q.route)
 	first := len(sh.reached)+len(sh.unreachable)+len(sh.running) == 0
 	if first && allowed {
 		warm := func(r *model.Replica) bool { return c.isTarget(r) && now >= s.statsOf(r).cold.endsAt }
@@ -183,7 +193,7 @@
 func (s *State) logExposure(now model.Time) {
 	for _, set := range sortedSets(s.canaries) {
 		c := s.canaries[set]
-		if now.Sub(c.loggedAt) < exposureLogInterval || c.rollout.State == model.RolloutRolledBack {
+		if now.Sub(c.loggedAt) < exposureLogInterval || c.absent || c.rollout.State == model.RolloutRolledBack {
 			continue
 		}
 		c.loggedAt = now
@@ -207,7 +217,7 @@
 
 // logVersions logs a replica set whose servers have several versions although no rollout is known.
 func (s *State) logVersions(set model.ReplicaSet, replicas []model.Replica) {
-	if _, ok := s.canaries[set]; ok {
+	if c, ok := s.canaries[set]; ok && !c.absent {
 		return
 	}
 	for i := range replicas {
@@ -269,7 +279,7 @@
 		}
 	}
 	for _, set := range sortedSets(s.canaries) {
-		if c := s.canaries[set]; !c.rollout.State.Final() && c.requests+c.sent > 0 {
+		if c := s.canaries[set]; !c.absent && !c.rollout.State.Final() && c.requests+c.sent > 0 {
 			report.Usage = append(report.Usage, c.usage())
 		}
 	}
--- a/core/dispatch/rollout_test.go
+++ b/core/dispatch/rollout_test.go
@@ -27,7 +27,7 @@
 
 func (h *harness) setRollout(state model.RolloutState, withheld bool) {
 	h.view.Rollouts = map[model.ReplicaSet]model.Rollout{"files": {
-		Name: "files", Set: "files", Target: newVersion, Duration: 12 * time.Second, State: state, Withheld: withheld,
+		Name: "files", Set: "files", Target: newVersion, Duration: 12 * time.Second, State: state, Withheld: withheld, SeenFromOrder: true,
 	}}
 }
 
@@ -62,10 +62,25 @@
 func TestCanarySlackAfterRestart(t *testing.T) {
 	is := is.New(t)
 	h := newRolloutHarness(t, model.RolloutRunning)
-	h.now = model.Time(time.Second)
+	r := h.view.Rollouts["files"]
+	r.SeenFromOrder = false
+	h.view.Rollouts["files"] = r
 	is.Equal(h.playRequests(101)[newVersion], 6) // of the 100 that were answered before the last one
 }
 
+// Guards against counts that start anew because the order was missing in one view.
+func TestCountsSurviveAMissingOrder(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHarness(t, model.RolloutRunning)
+	sent := h.playRequests(200)[newVersion]
+	order := h.view.Rollouts
+	h.view.Rollouts = nil
+	h.apply(ViewPublished{View: h.view})
+	h.view.Rollouts = order
+	sent += h.playRequests(200)[newVersion]
+	is.True(float64(sent) <= canaryShare*0.1*400+canarySlackShare*50/float64(h.view.ServingVMs))
+}
+
 // Guards against requests to a version that was withheld or rolled back, and to servers of the old
 // version after the rollout is completed.
 func TestVersionsAfterDecision(t *testing.T) {
--- a/internal/rolloutsim/exposure_test.go
+++ b/internal/rolloutsim/exposure_test.go
@@ -119,11 +119,13 @@
 
 // Guards against counters of the allowance that start anew with each process.
 func TestExposureWithRestartsInSeries(t *testing.T) {
+	const restarts = 8
 	for _, period := range []time.Duration{4500 * time.Millisecond, 11 * time.Second} {
 		checkExposure(t, lateFault, func(f *fleet) {
-			f.duration = 5 * period
+			f.perSec = 10 // so low that the slack is most of the limit
+			f.duration = (restarts + 1) * period
 			for i, v := range f.vms {
-				for k := range 4 {
+				for k := range restarts {
 					f.after(time.Duration(k)*period+time.Duration(i)*300*time.Millisecond, func() { v.restart(200 * time.Millisecond) })
 				}
 			}
--- a/model/entry.go
+++ b/model/entry.go
@@ -109,6 +109,9 @@
 	// Presumed means that no order is known: the set has got servers of another version, and an order
 	// for them may follow. Requests to the version are bounded as in a rollout, without the slack.
 	Presumed bool
+	// SeenFromOrder means that this process ran when the order came, so that no earlier process of the
+	// same VM has sent requests under it.
+	SeenFromOrder bool
 }
 
 // Order returns an identifier of the order. A new object or another target version for the same
