--- a/core/directory/usage.go
+++ b/core/directory/usage.go
@@ -82,11 +82,12 @@
 	return float64(t.sum().Requests-from.requests) / now.Sub(from.at).Seconds(), true
 }
 
-// failsTooOften reports whether the target version has failed more often than the other versions do.
+// failsTooOften reports whether the target version has failed more often than the other versions do, or
+// so often that it gets no more requests.
 func (t *usageTotal) failsTooOften() bool {
 	u := t.sum()
 	expected := float64(u.Sent) * float64(u.OldFailed) / float64(max(u.OldSent, 1))
-	return float64(u.Failed) > maxFailures+maxFailureRatio*expected
+	return u.Failed >= model.MaxTargetFailures || float64(u.Failed) > maxFailures+maxFailureRatio*expected
 }
 
 // completionFits reports whether a rollout may be completed now: its target version, which then gets
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -120,10 +121,17 @@
 // canaryAllowed reports whether this VM may send another request to the target version. A process that
 // has not run since the order has no share of the slack, since an earlier process of the same VM may
 // have used it.
+//
+// Its part of the failures ends the requests even if nothing can be compared, because the other
+// versions fail or do not answer: VMs whose rank is below the fraction of the part have one more.
 func (s *State) canaryAllowed(c *canary, r *route) bool {
+	sendingVMs := float64(s.sendingVMs(r))
+	if failures := model.MaxTargetFailures/sendingVMs + rank(s.cfg.Self, c.order); c.failed >= math.Floor(failures) {
+		return false
+	}
 	limit := canaryShare * s.cfg.Canary.Share * c.requests
 	if c.rollout.SeenFromOrder {
-		limit += canarySlackShare * s.cfg.Canary.Slack / float64(s.sendingVMs(r))
+		limit += canarySlackShare * s.cfg.Canary.Slack / sendingVMs
 	}
 	return c.sent+1 <= limit
 }
--- a/core/dispatch/rollout_test.go
+++ b/core/dispatch/rollout_test.go
@@ -199,6 +199,7 @@
 func TestEvidenceOfFailures(t *testing.T) {
 	is := is.New(t)
 	h := newRolloutHarness(t, model.RolloutRunning)
+	h.view.ServingVMs = 1 // so that all of model.MaxTargetFailures are its own
 	for range 420 {
 		h.request("/r/q")
 		h.now = h.now.Add(5 * time.Millisecond)
--- a/internal/rolloutsim/exposure_test.go
+++ b/internal/rolloutsim/exposure_test.go
@@ -132,3 +132,12 @@
 		})
 	}
 }
+
+// Guards against a bad version that is never withheld because the old one fails at the same time.
+func TestExposureWhileOldServersFail(t *testing.T) {
+	checkExposure(t, 0, func(f *fleet) {
+		f.perSec = 200
+		f.change(oldVersion, func(s *server) { s.badFrom = f.now })
+		f.after(11*time.Second, func() { f.change(oldVersion, func(s *server) { s.badFrom = model.Never }) })
+	})
+}
--- a/model/entry.go
+++ b/model/entry.go
@@ -135,6 +135,10 @@
 	return nil
 }
 
+// MaxTargetFailures is the number of failed attempts at the target version of a rollout, over all VMs,
+// after which it gets no more requests before a verdict, whatever the other versions do meanwhile.
+const MaxTargetFailures = 40
+
 // RolloutUsage counts what one process has used of a RolloutLimit, and the attempts that failed. The
 // counts only increase.
 type RolloutUsage struct {
