--- a/core/directory/rollouts.go
+++ b/core/directory/rollouts.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// completionShare is the share of a rollout's duration after which it may be completed.
-	// completionReserve is the least time that must then remain before the deadline, which moves
-	// completion earlier for short rollouts. Until then evidence against the version is collected.
+	// completionShare is the share of a rollout's duration after which it may be completed, and
+	// completionReserve the longest time that then remains before the deadline. Until then evidence
+	// against the version is collected, and the less time remains, the less it gets if it is bad.
 	completionShare   = 0.85
-	completionReserve = 1500 * time.Millisecond
+	completionReserve = 700 * time.Millisecond
 	// rollbackReserve is the time before the deadline at which a rollout that could not be
 	// completed is rolled back.
 	rollbackReserve = 700 * time.Millisecond
@@ -138,7 +138,7 @@
 	for _, u := range report.Usage {
 		if r, ok := s.runningRollout(u.Order); ok {
 			u.VM, u.Boot = s.cfg.Self, s.cfg.Boot
-			r.usage.merge(u)
+			r.usage.merge(u, now)
 		}
 	}
 	for _, ev := range report.Evidence {
@@ -154,7 +154,7 @@
 func (s *State) mergeFollowerEvidence(report FollowerEvidenceReceived, now model.Time) {
 	for _, u := range report.Usage {
 		if r, ok := s.runningRollout(u.Order); ok {
-			r.usage.merge(u)
+			r.usage.merge(u, now)
 		}
 	}
 	for _, ev := range report.Evidence {
@@ -274,10 +274,10 @@
 	switch {
 	case r.order.Withheld:
 		return model.RolloutRolledBack, true
-	case age >= completionAge(r.order.Duration) && s.mayComplete(r):
-		return model.RolloutCompleted, s.completionFits(r, now)
-	case age >= r.order.Duration-rollbackReserve:
+	case age >= r.order.Duration-rollbackReserve && !s.mayComplete(r):
 		return model.RolloutRolledBack, true
+	case age >= completionAge(r.order.Duration):
+		return model.RolloutCompleted, s.mayComplete(r) && s.completionFits(r, now)
 	case r.order.State == model.RolloutOrdered:
 		return model.RolloutRunning, true
 	}
@@ -291,7 +291,7 @@
 
 // completionAge returns the age from which a rollout of the given duration may be completed.
 func completionAge(duration time.Duration) time.Duration {
-	return min(time.Duration(completionShare*float64(duration)), duration-completionReserve)
+	return max(time.Duration(completionShare*float64(duration)), duration-completionReserve)
 }
 
 // hasServingReplica reports whether a server of the target version accepts requests.
--- a/core/directory/usage.go
+++ b/core/directory/usage.go
@@ -13,12 +13,14 @@
 	// loadGrowth is the factor by which the load may grow between the completion of a rollout and its
 	// deadline. A failed request may also be sent to a second server of the target version.
 	loadGrowth = 2
-	// sampleInterval is the time between two samples of the requests so far.
+	// sampleInterval is the time between two samples of the demand so far.
 	sampleInterval = 500 * time.Millisecond
 	// A version is not completed if more of its attempts have failed than maxFailures and
 	// maxFailureRatio times as many as the failures of the other versions let expect.
 	maxFailures     = 2
 	maxFailureRatio = 3
+	// reportTimeout is the time after which a VM that has told nothing counts as unknown.
+	reportTimeout = 1500 * time.Millisecond
 	// completionCheckInterval is the time between two checks whether a rollout can be completed.
 	completionCheckInterval = 50 * time.Millisecond
 )
@@ -32,20 +34,23 @@
 // usageTotal sums what all processes have used of the limit of a rollout.
 type usageTotal struct {
 	bySource     map[usageSource]model.RolloutUsage
-	samples      [2]usageSample // the newest first
+	reportedAt   map[model.VM]model.Time // time of the last report of each VM
+	samples      [2]usageSample          // the newest first
 	nextSampleAt model.Time
 }
 
 type usageSample struct {
-	at       model.Time
-	requests uint64
+	at     model.Time
+	demand uint64
 }
 
 // merge applies the counts of one process. Counts of an older report have no effect.
-func (t *usageTotal) merge(u model.RolloutUsage) {
+func (t *usageTotal) merge(u model.RolloutUsage, now model.Time) {
 	if t.bySource == nil {
 		t.bySource = make(map[usageSource]model.RolloutUsage)
+		t.reportedAt = make(map[model.VM]model.Time)
 	}
+	t.reportedAt[u.VM] = now
 	source := usageSource{u.VM, u.Boot}
 	t.bySource[source] = u.Merge(t.bySource[source])
 }
@@ -54,6 +59,7 @@
 func (t *usageTotal) sum() model.RolloutUsage {
 	var sum model.RolloutUsage
 	for _, u := range t.bySource {
+		sum.Demand += u.Demand
 		sum.Requests += u.Requests
 		sum.Sent += u.Sent
 		sum.Failed += u.Failed
@@ -63,23 +69,23 @@
 	return sum
 }
 
-// sample records the requests so far at each sampleInterval.
+// sample records the demand so far at each sampleInterval.
 func (t *usageTotal) sample(now model.Time) {
 	if now < t.nextSampleAt {
 		return
 	}
 	t.nextSampleAt = now.Add(sampleInterval)
 	t.samples[1] = t.samples[0]
-	t.samples[0] = usageSample{at: now, requests: t.sum().Requests}
+	t.samples[0] = usageSample{at: now, demand: t.sum().Demand}
 }
 
-// perSecond returns the requests a second since the older sample, or false if there are no two samples.
+// perSecond returns the demand a second since the older sample, or false if there are no two samples.
 func (t *usageTotal) perSecond(now model.Time) (float64, bool) {
 	from := t.samples[1]
 	if from.at == 0 || now <= from.at {
 		return 0, false
 	}
-	return float64(t.sum().Requests-from.requests) / now.Sub(from.at).Seconds(), true
+	return float64(t.sum().Demand-from.demand) / now.Sub(from.at).Seconds(), true
 }
 
 // failsTooOften reports whether the target version has failed more often than the other versions do, or
@@ -101,10 +107,23 @@
 	if !ok {
 		return false
 	}
+	unknown := s.unknownFactor(r, now)
 	used := r.usage.sum()
 	limit := s.cfg.Canary.Share * float64(used.Requests)
 	if r.seenFromOrder {
 		limit += s.cfg.Canary.Slack // otherwise VMs may have used it before this process counted
 	}
-	return float64(used.Sent)+loadGrowth*rate*remaining.Seconds() <= (1-usageReserve)*limit
+	return unknown*(float64(used.Sent)+loadGrowth*rate*remaining.Seconds()) <= (1-usageReserve)*limit
+}
+
+// unknownFactor returns by how much the counts of a rollout may have to be multiplied, since not all
+// serving VMs have reported lately.
+func (s *State) unknownFactor(r *rollout, now model.Time) float64 {
+	reporting := 0
+	for _, at := range r.usage.reportedAt {
+		if now.Sub(at) < reportTimeout {
+			reporting++
+		}
+	}
+	return max(float64(s.servingVMs(now))/float64(max(reporting, 1)), 1)
 }
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -172,7 +172,7 @@
 func (s *State) sendLocally(q *query, now model.Time) {
 	s.setShards(q)
 	for i := range q.shards {
-		s.budgetOf(q.shards[i].set).countRequest(now)
+		s.countRequest(q.shards[i].set, now)
 		s.startShard(q, i, now)
 	}
 	s.tryAnswer(q, now)
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -45,7 +45,8 @@
 type canary struct {
 	rollout     model.Rollout
 	order       string
-	requests    float64 // to the replica set since the order that a server has answered or refused
+	demand      float64 // requests to the replica set since the order
+	requests    float64 // of these, those that a server has answered or refused
 	sent        float64 // attempts sent to servers of the target version
 	failed      float64 // attempts that a server of the target version has failed
 	oldSent     float64 // attempts sent to servers of other versions
@@ -88,7 +89,7 @@
 
 func (c *canary) usage() model.RolloutUsage {
 	return model.RolloutUsage{
-		Order: c.order, Requests: uint64(c.requests), Sent: uint64(c.sent), Failed: uint64(c.failed),
+		Order: c.order, Demand: uint64(c.demand), Requests: uint64(c.requests), Sent: uint64(c.sent), Failed: uint64(c.failed),
 		OldSent: uint64(c.oldSent), OldFailed: uint64(c.oldFailed),
 	}
 }
@@ -175,6 +176,14 @@
 	}
 }
 
+// countRequest counts a request to a replica set, for the limits that depend on the number of requests.
+func (s *State) countRequest(set model.ReplicaSet, now model.Time) {
+	s.budgetOf(set).countRequest(now)
+	if c, ok := s.canaries[set]; ok {
+		c.demand++
+	}
+}
+
 // countOutcome counts the outcome of an attempt for a rollout. A request counts once, and only if a
 // server has answered it: the limit is a share of the requests that reach the replica set, and no
 // other outcome tells that a request has reached it.
@@ -207,7 +216,7 @@
 		c.loggedAt = now
 		s.emit(Log{Line: logline.Line{Level: logline.Info, Message: "counts of a rollout", Fields: []logline.Field{
 			logline.F("set", set), logline.F("target", c.rollout.Target), logline.F("state", c.rollout.State.String()),
-			logline.F("withheld", c.rollout.Withheld), logline.F("requests", c.requests),
+			logline.F("withheld", c.rollout.Withheld), logline.F("demand", c.demand), logline.F("requests", c.requests),
 			logline.F("sent_to_target", c.sent), logline.F("failed_by_target", c.failed),
 			logline.F("sent_to_others", c.oldSent), logline.F("failed_by_others", c.oldFailed), logline.F("target_known", c.targetKnown),
 		}}})
@@ -287,7 +296,7 @@
 		}
 	}
 	for _, set := range sortedSets(s.canaries) {
-		if c := s.canaries[set]; !c.absent && !c.rollout.State.Final() && c.requests+c.sent > 0 {
+		if c := s.canaries[set]; !c.absent && !c.rollout.State.Final() && c.demand > 0 {
 			report.Usage = append(report.Usage, c.usage())
 		}
 	}
--- a/internal/rolloutsim/exposure_test.go
+++ b/internal/rolloutsim/exposure_test.go
@@ -1,6 +1,10 @@
 package rolloutsim
 
 import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -141,3 +145,68 @@
 		f.after(11*time.Second, func() { f.change(oldVersion, func(s *server) { s.badFrom = model.Never }) })
 	})
 }
+
+var randomSeeds = flag.Uint64("random-seeds", 20, "number of seeds of TestExposureUnderRandomFaults")
+
+// Guards against combinations of loads, versions and faults in which a bad version gets too much.
+func TestExposureUnderRandomFaults(t *testing.T) {
+	for seed := range *randomSeeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { playRandomFaults(t, seed) })
+	}
+}
+
+func playRandomFaults(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	f := newFleet(seed, 2+rng.IntN(10), math.Exp(rng.Float64()*4+1.5))
+	f.badShare = 0.2 + 0.8*rng.Float64()
+	f.duration = time.Duration((3 + 22*rng.Float64()) * float64(time.Second))
+	f.runUntil(orderedAt)
+	for range rng.IntN(4) {
+		f.after(time.Duration(rng.Float64()*float64(f.duration)), f.randomFault(rng))
+	}
+	f.startRollout(time.Duration(rng.Float64() * float64(f.duration)))
+	f.runUntil(orderedAt.Add(f.duration + playedAfter))
+	if v := f.seen.violation(); v != "" {
+		t.Errorf("%d VMs, %.0f requests a second, rollout of %s: %s", len(f.vms), f.perSec, f.duration, v)
+	}
+}
+
+// randomFault returns a function that begins a fault and schedules its end.
+func (f *fleet) randomFault(rng *rand.Rand) func() {
+	d := time.Duration((0.5 + 6*rng.Float64()) * float64(time.Second))
+	change := func(apply func(s *server, on bool)) func() {
+		return func() {
+			f.change(oldVersion, func(s *server) { apply(s, true) })
+			f.after(d, func() { f.change(oldVersion, func(s *server) { apply(s, false) }) })
+		}
+	}
+	v := f.vms[rng.IntN(len(f.vms))]
+	growth := 0.3 + 2*rng.Float64()
+	switch rng.IntN(6) {
+	case 0:
+		return change(func(s *server, on bool) { s.dark = on })
+	case 1:
+		return change(func(s *server, on bool) { s.slow = on })
+	case 2:
+		return change(func(s *server, on bool) {
+			if s.badFrom = model.Never; on {
+				s.badFrom = f.now
+			}
+		})
+	case 3:
+		return func() {
+			if v.running {
+				v.restart(d / 4)
+			}
+		}
+	case 4:
+		return func() {
+			v.blocked = map[directory.Kind]bool{directory.KindRollouts: true, directory.KindReplicas: rng.IntN(2) == 0}
+			f.after(d, func() { v.blocked = nil })
+		}
+	}
+	return func() {
+		f.perSec *= growth
+		f.after(d, func() { f.perSec /= growth })
+	}
+}
--- a/model/entry.go
+++ b/model/entry.go
@@ -145,7 +145,8 @@
 	Order    string // see Rollout.Order
 	VM       VM
 	Boot     Boot
-	Requests uint64 // requests to the replica set that a server has answered
+	Demand   uint64 // requests to the replica set
+	Requests uint64 // of these, those that a server has answered
 	Sent     uint64 // attempts at servers of the target version
 	Failed   uint64 // of these, those that may have run and brought no success
 	// OldSent and OldFailed count the same for the servers of other versions.
@@ -154,7 +155,7 @@
 
 // Merge returns the newer counts of two reports of one process.
 func (u RolloutUsage) Merge(other RolloutUsage) RolloutUsage {
-	u.Requests = max(u.Requests, other.Requests)
+	u.Demand, u.Requests = max(u.Demand, other.Demand), max(u.Requests, other.Requests)
 	u.Sent, u.Failed = max(u.Sent, other.Sent), max(u.Failed, other.Failed)
 	u.OldSent, u.OldFailed = max(u.OldSent, other.OldSent), max(u.OldFailed, other.OldFailed)
 	return u
--- a/peer/relay/codec_test.go
+++ b/peer/relay/codec_test.go
@@ -54,7 +54,7 @@
 		Move: "files/3/v2", Route: "read", VM: "vm1", Boot: 7, Withheld: true,
 		Failures: model.PairCounts{Pairs: 9, NewWorse: 2, OldWorse: 1}, Slow: model.PairCounts{Pairs: 8, NewWorse: 4, OldWorse: 3},
 	}}
-	usage := []model.RolloutUsage{{Order: "set/6/v2", VM: "vm1", Boot: 7, Requests: 40, Sent: 3, Failed: 2, OldSent: 38, OldFailed: 1}}
+	usage := []model.RolloutUsage{{Order: "set/6/v2", VM: "vm1", Boot: 7, Demand: 45, Requests: 40, Sent: 3, Failed: 2, OldSent: 38, OldFailed: 1}}
 	is.Equal(decodeUsage(&relaypb.FollowRequest{Vm: "vm1", Usage: encodeUsage(usage)}), usage)
 	is.Equal(decodeEvidence(&relaypb.FollowRequest{Vm: "vm1", Evidence: encodeEvidence(evidence)}), evidence)
 	rollouts := []directory.RolloutStatus{{Order: "files/3/v2", Age: 3 * time.Second, Withheld: true}}
--- a/peer/relay/rollouts.go
+++ b/peer/relay/rollouts.go
@@ -64,7 +64,7 @@
 	var out []*relaypb.Usage
 	for _, u := range usage {
 		out = append(out, &relaypb.Usage{
-			Order: u.Order, Boot: uint64(u.Boot), Requests: u.Requests, Sent: u.Sent, Failed: u.Failed,
+			Order: u.Order, Boot: uint64(u.Boot), Demand: u.Demand, Requests: u.Requests, Sent: u.Sent, Failed: u.Failed,
 			OldSent: u.OldSent, OldFailed: u.OldFailed,
 		})
 	}
@@ -76,7 +76,7 @@
 	var usage []model.RolloutUsage
 	for _, u := range m.GetUsage() {
 		usage = append(usage, model.RolloutUsage{
-			Order: u.GetOrder(), VM: model.VM(m.GetVm()), Boot: model.Boot(u.GetBoot()), Requests: u.GetRequests(),
+			Order: u.GetOrder(), VM: model.VM(m.GetVm()), Boot: model.Boot(u.GetBoot()), Demand: u.GetDemand(), Requests: u.GetRequests(),
 			Sent: u.GetSent(), Failed: u.GetFailed(), OldSent: u.GetOldSent(), OldFailed: u.GetOldFailed(),
 		})
 	}
