--- a/soak/observations.go
+++ b/soak/observations.go
@@ -61,7 +61,7 @@
 	obs.daemonByRequest[id] = d
 	for _, set := range sets {
 		obs.requestTimes[set] = append(obs.requestTimes[set], time.Now())
-		if set == "files" && obs.rollout != nil && obs.rollout.inProgress(time.Now()) {
+		if set == "files" && obs.rollout != nil && obs.rollout.bounded(time.Now()) {
 			obs.rollout.requests++
 		}
 	}
--- a/soak/rollouts.go
+++ b/soak/rollouts.go
@@ -26,19 +26,18 @@
 type rollout struct {
 	version        string
 	bad            bool
+	badFrom        time.Duration // age from which a bad version fails
 	startedAt      time.Time
 	resultAt       time.Time // zero until the result is seen
 	state          string
-	requests       int // requests to the set while inProgress
-	targetRequests int // arrivals at the target version while inProgress
+	requests       int // requests to the set while bounded
+	targetRequests int // arrivals at the target version while bounded
 	targetFailures int // failures that the target version answered
 }
 
-// inProgress reports whether the rollout has no result and its duration has not passed, so that the
-// target version's share of the requests is bounded.
-func (r *rollout) inProgress(now time.Time) bool {
-	return r.state == "" && now.Sub(r.startedAt) < rolloutDuration
-}
+// bounded reports whether the target version's share of the requests is bounded: until the deadline,
+// whatever the result.
+func (r *rollout) bounded(now time.Time) bool { return now.Sub(r.startedAt) < rolloutDuration }
 
 // startRollout starts servers of the next version and writes the rollout to it. It does nothing while
 // another rollout is in progress.
@@ -48,15 +47,20 @@
 	}
 	dep.rolloutsStarted++
 	r := &rollout{version: fmt.Sprintf("v%d", dep.rolloutsStarted+1), bad: dep.rng.IntN(2) == 0, startedAt: time.Now()}
+	if dep.rng.IntN(2) == 0 {
+		r.badFrom = time.Duration(dep.rng.Float64() * float64(rolloutDuration))
+	}
 	for i := range rolloutServers {
 		s, err := dep.addServer("files", fmt.Sprintf("f-%s-%d", r.version, i), r.version)
 		if err != nil {
 			return err.Error(), func() {}
 		}
 		if r.bad {
-			s.mu.Lock()
-			s.failShare = badFailShare
-			s.mu.Unlock()
+			time.AfterFunc(r.badFrom, func() {
+				s.mu.Lock()
+				s.failShare = badFailShare
+				s.mu.Unlock()
+			})
 		}
 	}
 	dep.observations.recordRolloutStart(r)
@@ -64,7 +68,7 @@
 		"service": "files", "target_version": r.version, "duration_s": rolloutDuration.Seconds(),
 	})
 	go dep.watchRollout(r)
-	return fmt.Sprintf("%s, bad: %t", r.version, r.bad), func() {}
+	return fmt.Sprintf("%s, bad: %t, from %s", r.version, r.bad, r.badFrom.Round(time.Millisecond)), func() {}
 }
 
 // watchRollout waits for the result and then removes the servers of the version that is no longer
@@ -82,6 +86,8 @@
 			time.Sleep(rollbackBound) // requests may still reach the version until then
 		}
 		dep.removeServers(func(s *server) bool { return (s.version == r.version) == (r.state == "rolled_back") })
+		time.Sleep(time.Until(r.startedAt.Add(rolloutDuration)))
+		dep.observations.checkExposure(r)
 		dep.observations.clearRollout(r)
 		return
 	}
@@ -127,17 +133,24 @@
 	}
 }
 
-// recordRolloutResult checks the result of a rollout: a bad version has got at most the bounded share
-// of the requests, and is not completed once enough failures were answered.
+// checkExposure checks that a bad version has got at most the bounded share of the requests until the
+// deadline.
+func (obs *observations) checkExposure(r *rollout) {
+	obs.mu.Lock()
+	defer obs.mu.Unlock()
+	if bound := canaryShare*float64(r.requests) + canarySlack; r.bad && float64(r.targetRequests) > bound {
+		obs.addViolation("EXPOSURE", "bad version %s got %d of %d requests", r.version, r.targetRequests, r.requests)
+	}
+}
+
+// recordRolloutResult checks the result of a rollout: a bad version is not completed once enough failures
+// were answered.
 func (obs *observations) recordRolloutResult(r *rollout, state string) {
 	obs.mu.Lock()
 	defer obs.mu.Unlock()
 	r.state, r.resultAt = state, time.Now()
 	obs.rolloutResults = append(obs.rolloutResults, fmt.Sprintf("%s bad %t: %s after %s, %d of %d requests, %d failures",
 		r.version, r.bad, state, r.resultAt.Sub(r.startedAt).Round(time.Millisecond), r.targetRequests, r.requests, r.targetFailures))
-	if bound := canaryShare*float64(r.requests) + canarySlack; r.bad && float64(r.targetRequests) > bound {
-		obs.addViolation("EXPOSURE", "bad version %s got %d of %d requests", r.version, r.targetRequests, r.requests)
-	}
 	if r.bad && state == "completed" && r.targetFailures >= canarySlack {
 		obs.addViolation("EXPOSURE", "bad version %s was completed after %d failures", r.version, r.targetFailures)
 	}
@@ -151,7 +164,7 @@
 		return
 	}
 	now := time.Now()
-	if r.inProgress(now) {
+	if r.bounded(now) {
 		r.targetRequests++
 	}
 	if r.state == "rolled_back" && now.Sub(r.resultAt) > rollbackBound && d.undisturbed(now) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,6 +68,7 @@
 				obs.recordArrival(testServer("f1"), id, time.Time{})
 			}
 			obs.recordRolloutResult(r, "rolled_back")
+			obs.checkExposure(r)
 		}},
 		{"EXPOSURE", func(obs *observations) {
 			r := &rollout{version: "v2", bad: true, startedAt: time.Now()}
