--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -54,6 +54,7 @@
 	}
 	delete(s.attempts, a.id)
 	delete(a.stats.running, a.id)
+	s.observeNotice(a, ev, now)
 	s.observeOutcome(a, ev, now)
 	s.countOutcome(a, ev)
 	s.recordEvidence(a, ev, now)
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -38,6 +38,7 @@
 		Outcome Outcome
 		Reply   *Reply // nil unless the server answered
 		Cause   string // why there is no usable reply; for logs and refusals
+		Notice  Notice // what the server says of itself, if any of its answer was read
 	}
 	// ViewPublished reports a new view of the configuration, replicas, senders and rollouts.
 	ViewPublished struct{ View *model.EntryView }
@@ -87,6 +88,13 @@
 // notRun reports whether the request has certainly not run.
 func (o Outcome) notRun() bool { return o == NotSent || o == NotRun || o == Misdirected }
 
+// Notice is what a backend server says of itself in an answer, whatever the outcome.
+type Notice struct {
+	// Limit is the number of requests a second that the server takes from all VMs together; 0 if it
+	// states none.
+	Limit float64
+}
+
 // Reply is a backend server's answer.
 type Reply struct {
 	Status    int
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -62,6 +62,7 @@
 	reassignedAddress string
 	answeredAt        model.Time // last answer of any kind
 	cold              coldStart
+	limit             requestLimit
 	rank              float64 // rank of the server for this VM, in [0, 1)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,9 +58,10 @@
 
 // Backend sends requests to backend servers.
 type Backend interface {
-	// Send runs one attempt. The outcome is NotSent only if no byte of the request can have reached
-	// the server. The reply is nil unless the outcome is Answered; the string then states the cause.
-	Send(ctx context.Context, a Attempt) (dispatch.Outcome, *dispatch.Reply, string)
+	// Send runs one attempt and returns how it ended, without the attempt's ID. The outcome is NotSent
+	// only if no byte of the request can have reached the server. The reply is nil unless the outcome is
+	// Answered; the cause is set otherwise.
+	Send(ctx context.Context, a Attempt) dispatch.AttemptEnded
 }
 
 // Attempt is a request to one backend server.
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -143,11 +143,12 @@
 	left := e.Deadline.Sub(t.now())
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	outcome, reply, cause := t.backend.Send(ctx, Attempt{Server: e.Server, Request: p.req, Left: left, MaxReplyBytes: e.MaxReplyBytes})
-	if context.Cause(ctx) == context.Canceled && outcome != dispatch.Answered {
-		outcome = dispatch.Aborted
+	ended := t.backend.Send(ctx, Attempt{Server: e.Server, Request: p.req, Left: left, MaxReplyBytes: e.MaxReplyBytes})
+	if context.Cause(ctx) == context.Canceled && ended.Outcome != dispatch.Answered {
+		ended.Outcome = dispatch.Aborted
 	}
-	t.reportAttemptEnd(runCtx, dispatch.AttemptEnded{Attempt: e.Attempt, Outcome: outcome, Reply: reply, Cause: cause})
+	ended.Attempt = e.Attempt
+	t.reportAttemptEnd(runCtx, ended)
 }
 
 func (t *Tier) reportAttemptEnd(ctx context.Context, ev dispatch.AttemptEnded) {
--- a/internal/rolloutsim/exposure_test.go
+++ b/internal/fleetsim/exposure_test.go
@@ -1,4 +1,4 @@
-package rolloutsim
+package fleetsim
 
 import (
 	"flag"
--- a/internal/rolloutsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -1,6 +1,6 @@
-// Package rolloutsim plays rollouts on the reducers of several entry VMs, on virtual time, and counts
-// the requests that reach each version as an outside observer does.
-package rolloutsim
+// Package fleetsim plays the reducers of several entry VMs on virtual time, and counts the requests that
+// reach servers as an outside observer does.
+package fleetsim
 
 import (
 	"container/heap"
