--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -61,6 +61,7 @@
 	duration time.Duration // of a rollout
 	lastReq  int
 	seen     observer
+	limited  limitObserver
 }
 
 // server answers after a few milliseconds, unless it is dark.
@@ -68,6 +69,7 @@
 	value   model.Replica
 	dark    bool
 	slow    bool       // takes slowWork longer
+	limit   float64    // stated in its answers unless 0
 	badFrom model.Time // from then on it fails; model.Never if it is sound
 }
 
--- /dev/null
+++ b/internal/fleetsim/limit_test.go
@@ -0,0 +1,129 @@
+package fleetsim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/model"
+)
+
+const (
+	// limitWindow, limitFactor and limitSlack are the bound on requests to a server that states a limit.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// limitInForceAfter is how long after a server first stated its limit the bound holds.
+	limitInForceAfter = 4 * time.Second
+	// toldAfter is how long after a VM has received the limit its requests count.
+	toldAfter = 500 * time.Millisecond
+)
+
+// process identifies one start of a VM.
+type process struct {
+	vm   model.VM
+	boot model.Boot
+}
+
+// limitObserver counts the requests to servers that state a limit, from VMs that have been told.
+type limitObserver struct {
+	fleet    *fleet
+	statedAt map[model.BackendServerID]model.Time
+	told     map[model.BackendServerID]map[process]model.Time
+	arrivals map[model.BackendServerID][]model.Time
+	total    int    // arrivals of all VMs at servers that state a limit, in force
+	worst    string // the largest excess, "" if there was none
+	excess   float64
+}
+
+func (o *limitObserver) answered(v *vm, s *server) {
+	if o.fleet == nil || s.limit == 0 {
+		return
+	}
+	id := s.value.ID
+	if o.told[id] == nil {
+		o.statedAt[id] = o.fleet.now
+		o.told[id] = make(map[process]model.Time)
+	}
+	p := process{v.name, v.boot}
+	if _, ok := o.told[id][p]; !ok {
+		o.told[id][p] = o.fleet.now.Add(messageTime)
+	}
+}
+
+func (o *limitObserver) arrived(v *vm, s *server) {
+	if o.fleet == nil || s.limit == 0 {
+		return
+	}
+	id, now := s.value.ID, o.fleet.now
+	inForce := o.statedAt[id] != 0 && now.Sub(o.statedAt[id]) >= limitInForceAfter
+	if inForce {
+		o.total++
+	}
+	told, ok := o.told[id][process{v.name, v.boot}]
+	if !ok || now.Sub(told) < toldAfter {
+		return
+	}
+	list := append(o.arrivals[id], now)
+	for now.Sub(list[0]) > limitWindow {
+		list = list[1:]
+	}
+	o.arrivals[id] = list
+	allowed := limitFactor*limitWindow.Seconds()*s.limit + limitSlack
+	if inForce && float64(len(list))-allowed > o.excess {
+		o.excess = float64(len(list)) - allowed
+		o.worst = fmt.Sprintf("server %s with a limit of %.1f a second got %d requests in %s, %.0f allowed", id, s.limit, len(list), limitWindow, allowed)
+	}
+}
+
+// stateLimits makes the first n servers state a limit.
+func (f *fleet) stateLimits(n int, limit float64) {
+	f.limited = limitObserver{
+		fleet: f, statedAt: make(map[model.BackendServerID]model.Time),
+		told:     make(map[model.BackendServerID]map[process]model.Time),
+		arrivals: make(map[model.BackendServerID][]model.Time),
+	}
+	for i := range n {
+		f.servers[model.BackendServerID(fmt.Sprintf("%s-%d", oldVersion, i))].limit = limit
+	}
+}
+
+// Guards against requests beyond the limit that a server states: with few and many VMs of uneven load, a
+// load that grows, and restarts.
+func TestServerLimitIsKept(t *testing.T) {
+	tests := []struct {
+		name    string
+		vms     int
+		perSec  float64
+		limit   float64
+		disturb func(f *fleet)
+	}{
+		{"few VMs", 6, 90, 26, nil},
+		{"more VMs than the limit", 40, 200, 26, nil},
+		{"limit below one a second", 9, 90, 0.4, nil},
+		{"the load grows", 9, 60, 26, func(f *fleet) { f.after(8*time.Second, func() { f.perSec *= 4 }) }},
+		{"VMs restart", 9, 90, 26, func(f *fleet) {
+			for i, v := range f.vms {
+				f.after(time.Duration(i)*1500*time.Millisecond, func() { v.restart(500 * time.Millisecond) })
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				for _, limited := range []int{1, 2} {
+					f := newFleet(seed, tt.vms, tt.perSec)
+					f.runUntil(orderedAt)
+					f.stateLimits(limited, tt.limit)
+					if tt.disturb != nil {
+						tt.disturb(f)
+					}
+					f.runUntil(orderedAt.Add(20 * time.Second))
+					if f.limited.worst != "" {
+						t.Errorf("seed %d, %d of 2 servers limited: %s", seed, limited, f.limited.worst)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/fleetsim/vm_test.go
+++ b/internal/fleetsim/vm_test.go
@@ -190,7 +190,7 @@
 		case dispatch.Send:
 			v.send(e)
 		case dispatch.Abort:
-			v.endAttempt(e.Attempt, dispatch.Aborted, nil)
+			v.endAttempt(dispatch.AttemptEnded{Attempt: e.Attempt, Outcome: dispatch.Aborted})
 		case dispatch.Wake:
 			v.trafficWake = v.wakeAt(e.At, &v.trafficWake, func() { v.reduceTraffic(dispatch.Woken{}) })
 		case dispatch.ReportEvidence:
@@ -204,12 +204,13 @@
 	v.attempts[e.Attempt] = e
 	s := v.fleet.servers[e.Server.ID]
 	if s.dark {
-		v.later(dialTimeout, func() { v.endAttempt(e.Attempt, dispatch.NotSent, nil) })
+		v.later(dialTimeout, func() { v.endAttempt(dispatch.AttemptEnded{Attempt: e.Attempt, Outcome: dispatch.NotSent}) })
 		return
 	}
 	request := v.requests[e.Query]
 	v.later(messageTime, func() {
 		v.fleet.seen.arrived(v, request, s.value.Version)
+		v.fleet.limited.arrived(v, s)
 		bad := v.fleet.now >= s.badFrom && v.fleet.rng.Float64() < v.fleet.badShare
 		work := 5*time.Millisecond + time.Duration(v.fleet.rng.ExpFloat64()*float64(5*time.Millisecond))
 		if s.slow {
@@ -221,15 +222,16 @@
 				reply = &dispatch.Reply{Status: 500, Signature: "s"}
 				v.fleet.seen.answeredBadly(s.value.Version)
 			}
-			v.endAttempt(e.Attempt, dispatch.Answered, reply)
+			v.fleet.limited.answered(v, s)
+			v.endAttempt(dispatch.AttemptEnded{Attempt: e.Attempt, Outcome: dispatch.Answered, Reply: reply, Notice: dispatch.Notice{Limit: s.limit}})
 		})
 	})
 }
 
-func (v *vm) endAttempt(id model.AttemptID, outcome dispatch.Outcome, reply *dispatch.Reply) {
-	if _, ok := v.attempts[id]; !ok {
+func (v *vm) endAttempt(ev dispatch.AttemptEnded) {
+	if _, ok := v.attempts[ev.Attempt]; !ok {
 		return
 	}
-	delete(v.attempts, id)
-	v.later(0, func() { v.reduceTraffic(dispatch.AttemptEnded{Attempt: id, Outcome: outcome, Reply: reply}) })
+	delete(v.attempts, ev.Attempt)
+	v.later(0, func() { v.reduceTraffic(ev) })
 }
