--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -122,6 +122,7 @@
 	upstreams      map[model.VM]*upstream
 	unreachable    map[model.VM]unreachableVM
 	followers      map[uint64]bool
+	loads          loadState
 	vmListCount    int // number of lists of the VMs read so far
 	nextStatusAt   model.Time
 	nextEvidenceAt model.Time // next report of rollout evidence to the upstreams
@@ -164,6 +165,7 @@
 		upstreams:    make(map[model.VM]*upstream),
 		unreachable:  make(map[model.VM]unreachableVM),
 		followers:    make(map[uint64]bool),
+		loads:        newLoadState(),
 	}
 	for k := range s.objects {
 		s.objects[k] = make(map[string]Change)
@@ -216,6 +218,10 @@
 		s.addLocalEvidence(ev, now)
 	case FollowerEvidenceReceived:
 		s.mergeFollowerEvidence(ev, now)
+	case LocalLoadsReported:
+		s.localLoadsReported(ev, now)
+	case FollowerLoadsReceived:
+		s.recordLoads(ev.VM, ev.Loads, ev.Limited, now)
 	case RolloutWriteEnded:
 		s.rolloutWriteEnded(ev, now)
 	case Woken:
--- a/core/directory/event.go
+++ b/core/directory/event.go
@@ -110,6 +110,10 @@
 		Rollouts []RolloutStatus // running rollouts
 		Update   *Update
 		Leaving  bool
+		// Loads are the loads of all VMs together, as the upstream knows them. LoadsWanted means that it
+		// needs those of its followers.
+		Loads       []model.RouteLoad
+		LoadsWanted bool
 	}
 	// FollowEnded reports that the stream from an upstream failed or was closed by it.
 	FollowEnded struct {
@@ -175,6 +179,9 @@
 		Ages     Ages
 		Rollouts []RolloutStatus
 		Update   *Update
+		// Loads and LoadsWanted are as in UpstreamStatusReceived.
+		Loads       []model.RouteLoad
+		LoadsWanted bool
 	}
 	// PublishView publishes a new view to the traffic workers.
 	PublishView struct{ View *model.EntryView }
--- a/core/directory/peers.go
+++ b/core/directory/peers.go
@@ -140,6 +140,7 @@
 		}
 	}
 	s.applyRolloutStatuses(ev.From, ev.Rollouts, now)
+	s.upstreamLoads(ev.From, ev.Loads, ev.LoadsWanted, now)
 	if ev.Leaving {
 		s.emit(Unfollow{VM: ev.From})
 		s.markUnreachable(ev.From, "it is stopping", now)
@@ -179,5 +180,6 @@
 		return
 	}
 	s.nextStatusAt = now.Add(s.cfg.StatusInterval)
-	s.emit(SendUpdate{Ages: s.ages(now), Rollouts: s.rolloutStatuses(now)})
+	loads, wanted := s.statusLoads(now)
+	s.emit(SendUpdate{Ages: s.ages(now), Rollouts: s.rolloutStatuses(now), Loads: loads, LoadsWanted: wanted})
 }
--- a/core/dispatch/answer.go
+++ b/core/dispatch/answer.go
@@ -199,7 +199,7 @@
 func (s *State) refuse(q *query, code Code, reason string, now model.Time) {
 	ref := Refuse{Query: q.id, Code: code, Reason: reason}
 	if code == CodeNotRun {
-		ref.RetryAfter = retryAfter
+		ref.RetryAfter = max(retryAfter, q.retryAfter)
 	}
 	s.emit(ref)
 	s.count(codeCounters[code])
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -21,6 +21,7 @@
 	a := &attempt{id: s.lastAttempt, query: q, shard: i, server: *r, stats: s.statsOf(r), sent: now}
 	a.stats.running[a.id] = now
 	a.stats.cold.recordSent(now)
+	a.stats.limit.recordSent(now)
 	s.countCanary(r)
 	s.attempts[a.id] = a
 	sh.running = append(sh.running, a)
@@ -201,6 +202,9 @@
 		return
 	}
 	srv := s.statsOf(r)
+	if srv.limit.active(now) {
+		return // first attempts need what the limit allows
+	}
 	wait := srv.expectedWait(r, q.latency, now)
 	if now.Add(wait) > q.deadline || wait > maxHedgeWait*q.latency.p95 {
 		return
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -48,6 +48,8 @@
 	unconfirmed bool
 	routes      *routeTable
 	servers     map[serverKey]*serverStats
+	limited     int // servers with a stated limit
+	loads       loads
 	budgets     map[model.ReplicaSet]*budget
 	latency     map[string]*latencies // by route name
 	queries     map[model.QueryID]*query
@@ -73,6 +75,7 @@
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
 		view:     &model.EntryView{ServingVMs: 1},
 		routes:   newRouteTable(nil),
+		loads:    newLoads(),
 		servers:  make(map[serverKey]*serverStats),
 		budgets:  make(map[model.ReplicaSet]*budget),
 		latency:  make(map[string]*latencies),
@@ -101,6 +104,8 @@
 		s.applyView(ev.View, now)
 	case Resumed:
 		s.unconfirmed = true
+	case LoadsReceived:
+		s.loadsReceived(ev)
 	case StopStarted:
 		s.stopEnd = ev.End
 	case Woken:
@@ -108,6 +113,7 @@
 	}
 	s.runTimers(now)
 	s.reportEvidence(now)
+	s.reportLoads(now)
 	s.logExposure(now)
 	s.requestWake()
 	return s.effects
@@ -132,7 +138,7 @@
 	s.unconfirmed = view.Unconfirmed
 	s.applyRollouts(now)
 	known := make(map[serverKey]bool)
-	for _, set := range sortedSets(view.Replicas) {
+	for _, set := range sortedNames(view.Replicas) {
 		replicas := view.Replicas[set]
 		s.logVersions(set, replicas)
 		for i := range replicas {
@@ -141,7 +147,7 @@
 		}
 	}
 	for k, srv := range s.servers {
-		if !known[k] && len(srv.running) == 0 {
+		if !known[k] && len(srv.running) == 0 && !srv.limit.active(now) {
 			delete(s.servers, k)
 		}
 	}
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -221,6 +221,8 @@
 	CountMissingHedged
 	CountMissingNoBudget
 	CountMissingFailed
+	// CountAtLimit counts the queries refused at once because servers are at the limits that they state.
+	CountAtLimit
 	counters
 )
 
@@ -229,7 +231,7 @@
 	"refusals.not_run", "refusals.failed", "refusals.timeout", "refusals.no_route", "callers.gone",
 	"attempts", "attempts.hedges", "attempts.retries", "retry_budget.empty",
 	"attempts.answered", "attempts.not_sent", "attempts.not_run", "attempts.misdirected", "attempts.unclear", "attempts.late_replies", "queries.forwarded", "attempts.canary",
-	"missing_shards.waiting", "missing_shards.hedged", "missing_shards.no_budget", "missing_shards.failed",
+	"missing_shards.waiting", "missing_shards.hedged", "missing_shards.no_budget", "missing_shards.failed", "refusals.at_limit",
 }
 
 // String returns the name of the counter in the metrics.
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -171,6 +171,10 @@
 // sendLocally starts the attempts of a query on this VM.
 func (s *State) sendLocally(q *query, now model.Time) {
 	s.setShards(q)
+	s.countLoad(q.route, now)
+	if s.refuseAtLimit(q, now) {
+		return
+	}
 	for i := range q.shards {
 		s.countRequest(q.shards[i].set, now)
 		s.startShard(q, i, now)
@@ -214,6 +218,7 @@
 
 func (s *State) answerForwarded(q *query, ev ForwardAnswered, now model.Time) {
 	if ev.Refusal != nil {
+		q.retryAfter = ev.Refusal.RetryAfter
 		s.refuse(q, ev.Refusal.Code, "sender: "+ev.Refusal.Reason, now)
 		return
 	}
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -46,6 +46,7 @@
 	pendingShards  int  // shards that have neither a result nor failed
 	mayHaveRun     bool // a server may have run the request
 	ended          bool
+	retryAfter     time.Duration // delay that a CodeNotRun refusal asks for; 0 for the usual one
 
 	sender         model.VM   // VM to which the query is forwarded, or ""
 	acceptDeadline model.Time // deadline of the sender's acceptance; model.Never once it has accepted
@@ -146,13 +147,19 @@
 		s.sendAttempt(q, i, r, now)
 		return
 	}
-	if s.hasUsableServer(sh.set, now) {
-		sh.cause = "no server has room;"
-		sh.nextAttemptAt = now.Add(noRoomDelay)
+	if !s.hasUsableServer(sh.set, now) {
+		sh.cause = "no server is known"
+		s.failShard(q, sh)
 		return
 	}
-	sh.cause = "no server is known"
-	s.failShard(q, sh)
+	at := s.roomAt(q, sh, now)
+	if at > q.uselessAfter() && at > now.Add(noRoomDelay) {
+		sh.cause = "the servers are at the limits that they state"
+		s.failShard(q, sh)
+		return
+	}
+	sh.cause = "no server has room;"
+	sh.nextAttemptAt = at
 }
 
 func (s *State) failShard(q *query, sh *shard) {
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -208,7 +208,7 @@
 
 // logExposure logs the counts of each rollout that is not rolled back, at each exposureLogInterval.
 func (s *State) logExposure(now model.Time) {
-	for _, set := range sortedSets(s.canaries) {
+	for _, set := range sortedNames(s.canaries) {
 		c := s.canaries[set]
 		if now.Sub(c.loggedAt) < exposureLogInterval || c.absent || c.rollout.State == model.RolloutRolledBack {
 			continue
@@ -223,13 +223,13 @@
 	}
 }
 
-func sortedSets[T any](m map[model.ReplicaSet]T) []model.ReplicaSet {
-	sets := make([]model.ReplicaSet, 0, len(m))
-	for set := range m {
-		sets = append(sets, set)
+func sortedNames[K ~string, T any](m map[K]T) []K {
+	names := make([]K, 0, len(m))
+	for name := range m {
+		names = append(names, name)
 	}
-	slices.Sort(sets)
-	return sets
+	slices.Sort(names)
+	return names
 }
 
 // logVersions logs a replica set whose servers have several versions although no rollout is known.
@@ -295,7 +295,7 @@
 			report.Evidence = append(report.Evidence, r.Evidence)
 		}
 	}
-	for _, set := range sortedSets(s.canaries) {
+	for _, set := range sortedNames(s.canaries) {
 		if c := s.canaries[set]; !c.absent && !c.rollout.State.Final() && c.demand > 0 {
 			report.Usage = append(report.Usage, c.usage())
 		}
--- a/core/dispatch/routes.go
+++ b/core/dispatch/routes.go
@@ -11,7 +11,10 @@
 // routeTable finds the route of a request.
 type routeTable struct {
 	byHost map[string][]*route // sorted by descending length of the path prefix
-	sets   map[model.ReplicaSet]bool
+	// routesOf holds the names of the routes that use a replica set, and mostUrgent the least Priority
+	// of these routes.
+	routesOf   map[model.ReplicaSet][]string
+	mostUrgent map[model.ReplicaSet]int
 }
 
 // route is a configured route with the state of its weighted split.
@@ -21,7 +24,11 @@
 }
 
 func newRouteTable(cfg *model.EntryConfig) *routeTable {
-	t := &routeTable{byHost: make(map[string][]*route), sets: make(map[model.ReplicaSet]bool)}
+	t := &routeTable{
+		byHost:     make(map[string][]*route),
+		routesOf:   make(map[model.ReplicaSet][]string),
+		mostUrgent: make(map[model.ReplicaSet]int),
+	}
 	if cfg == nil {
 		return t
 	}
@@ -30,10 +37,10 @@
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], &route{EntryRoute: r, currentWeights: make([]float64, len(r.Split))})
 		for _, set := range r.Shards {
-			t.sets[set] = true
+			t.addSet(set, r)
 		}
 		for _, w := range r.Split {
-			t.sets[w.Set] = true
+			t.addSet(w.Set, r)
 		}
 	}
 	for _, routes := range t.byHost {
@@ -44,7 +51,16 @@
 	return t
 }
 
-func (t *routeTable) usesSet(set model.ReplicaSet) bool { return t.sets[set] }
+// addSet records that a route uses a replica set.
+func (t *routeTable) addSet(set model.ReplicaSet, r *model.EntryRoute) {
+	if len(t.routesOf[set]) == 0 {
+		t.mostUrgent[set] = r.Priority
+	}
+	t.routesOf[set] = append(t.routesOf[set], r.Name)
+	t.mostUrgent[set] = min(t.mostUrgent[set], r.Priority)
+}
+
+func (t *routeTable) usesSet(set model.ReplicaSet) bool { return len(t.routesOf[set]) > 0 }
 
 // find returns the matching route with the longest path prefix, or nil.
 func (t *routeTable) find(host, path string) *route {
--- a/entry/control.go
+++ b/entry/control.go
@@ -94,6 +94,13 @@
 		}
 	case directory.SendEvidence:
 		t.relay.SendEvidence(e)
+	case directory.SendLoads:
+		t.relay.SendLoads(e)
+	case directory.PublishLoads:
+		select {
+		case t.trafficEvents <- dispatch.LoadsReceived(e):
+		case <-ctx.Done():
+		}
 	case directory.WriteRolloutState:
 		go t.writeRolloutState(ctx, e)
 	case directory.PublishView:
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -40,6 +40,9 @@
 // FollowerEvidenceReceived implements relay.Handler.
 func (h relayHandler) FollowerEvidenceReceived(ev directory.FollowerEvidenceReceived) { h.enqueue(ev) }
 
+// FollowerLoadsReceived implements relay.Handler.
+func (h relayHandler) FollowerLoadsReceived(ev directory.FollowerLoadsReceived) { h.enqueue(ev) }
+
 // ServePeers serves other VMs on lis until ctx ends: followers of this VM, and VMs that forward
 // queries to it.
 func (t *Tier) ServePeers(ctx context.Context, lis net.Listener) error {
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -97,17 +97,24 @@
 	case dispatch.RecordDuration:
 		tr.t.meters.recordDuration(e)
 	case dispatch.ReportEvidence:
-		tr.reportEvidence(e)
+		if !tr.report(directory.LocalEvidenceReceived{Evidence: e.Evidence, Usage: e.Usage}) {
+			tr.t.log.Warn().Int("routes", len(e.Evidence)).Msg("evidence on a rollout is lost, control is behind")
+		}
+	case dispatch.ReportLoads:
+		if !tr.report(directory.LocalLoadsReported(e)) {
+			tr.t.log.Warn().Int("routes", len(e.Loads)).Msg("loads are not reported, control is behind")
+		}
 	}
 }
 
-// reportEvidence sends evidence on rollouts to the control goroutine. It drops the evidence instead
+// report sends an event to the control goroutine, and reports whether it did. It drops the event instead
 // of blocking, since the control goroutine may itself be blocked on the traffic goroutine.
-func (tr *traffic) reportEvidence(e dispatch.ReportEvidence) {
+func (tr *traffic) report(ev directory.Event) bool {
 	select {
-	case tr.t.controlEvents <- directory.LocalEvidenceReceived{Evidence: e.Evidence, Usage: e.Usage}:
+	case tr.t.controlEvents <- ev:
+		return true
 	default:
-		tr.t.log.Warn().Int("routes", len(e.Evidence)).Msg("evidence on a rollout is lost, control is behind")
+		return false
 	}
 }
 
--- a/internal/fleetsim/limit_test.go
+++ b/internal/fleetsim/limit_test.go
@@ -88,9 +88,13 @@
 	}
 }
 
-// Guards against requests beyond the limit that a server states: with few and many VMs of uneven load, a
-// load that grows, and restarts.
+// Guards against requests beyond the limit that a server states, with few and many VMs of uneven load, a
+// load that grows, and restarts; and against VMs that keep it by hardly using the server.
 func TestServerLimitIsKept(t *testing.T) {
+	const (
+		inForce = 16 * time.Second // time played with the bound
+		minUse  = 0.6              // least part of what the servers take that they must get
+	)
 	tests := []struct {
 		name    string
 		vms     int
@@ -118,10 +122,13 @@
 					if tt.disturb != nil {
 						tt.disturb(f)
 					}
-					f.runUntil(orderedAt.Add(20 * time.Second))
+					f.runUntil(orderedAt.Add(limitInForceAfter + inForce))
 					if f.limited.worst != "" {
 						t.Errorf("seed %d, %d of 2 servers limited: %s", seed, limited, f.limited.worst)
 					}
+					if got, most := float64(f.limited.total), tt.limit*inForce.Seconds()*float64(limited); limited == 2 && got < minUse*most {
+						t.Errorf("seed %d: the servers got %.0f requests of the %.0f that they take", seed, got, most)
+					}
 				}
 			}
 		})
--- a/internal/fleetsim/vm_test.go
+++ b/internal/fleetsim/vm_test.go
@@ -118,7 +118,9 @@
 		for id, follower := range v.followers {
 			if e.Follower == 0 || e.Follower == id {
 				follower.later(messageTime, func() {
-					follower.reduceControl(directory.UpstreamStatusReceived{From: v.name, Ages: e.Ages, Rollouts: e.Rollouts, Update: e.Update})
+					follower.reduceControl(directory.UpstreamStatusReceived{
+						From: v.name, Ages: e.Ages, Rollouts: e.Rollouts, Update: e.Update, Loads: e.Loads, LoadsWanted: e.LoadsWanted,
+					})
 				})
 			}
 		}
@@ -132,6 +134,16 @@
 				upstream.later(messageTime, func() { upstream.reduceControl(report) })
 			}
 		}
+	case directory.SendLoads:
+		for _, upstream := range v.fleet.vms {
+			if _, ok := v.upstreams[upstream.name]; ok {
+				upstream.later(messageTime, func() {
+					upstream.reduceControl(directory.FollowerLoadsReceived{VM: v.name, Loads: e.Loads, Limited: e.Limited})
+				})
+			}
+		}
+	case directory.PublishLoads:
+		v.reduceTraffic(dispatch.LoadsReceived(e))
 	case directory.WriteRolloutState:
 		v.fleet.store.writeState(v, e)
 	case directory.PublishView:
@@ -193,6 +205,8 @@
 			v.endAttempt(dispatch.AttemptEnded{Attempt: e.Attempt, Outcome: dispatch.Aborted})
 		case dispatch.Wake:
 			v.trafficWake = v.wakeAt(e.At, &v.trafficWake, func() { v.reduceTraffic(dispatch.Woken{}) })
+		case dispatch.ReportLoads:
+			v.later(0, func() { v.reduceControl(directory.LocalLoadsReported(e)) })
 		case dispatch.ReportEvidence:
 			v.later(0, func() { v.reduceControl(directory.LocalEvidenceReceived{Evidence: e.Evidence, Usage: e.Usage}) })
 		}
--- a/model/entry.go
+++ b/model/entry.go
@@ -180,6 +180,12 @@
 // Final reports whether the rollout has ended.
 func (s RolloutState) Final() bool { return s == RolloutCompleted || s == RolloutRolledBack }
 
+// RouteLoad is the rate at which one VM, or all VMs together, start the queries of a route.
+type RouteLoad struct {
+	Route     string
+	PerSecond float64
+}
+
 // EntryVM is the registration that a VM of the query tier writes to the store.
 type EntryVM struct {
 	Name    VM
--- a/peer/relay/codec.go
+++ b/peer/relay/codec.go
@@ -16,7 +16,7 @@
 
 // encodeUpdate encodes a message for followers.
 func encodeUpdate(e directory.SendUpdate) (*relaypb.Update, error) {
-	m := &relaypb.Update{AgesMicros: encodeAges(e.Ages), Orders: encodeRollouts(e.Rollouts)}
+	m := &relaypb.Update{AgesMicros: encodeAges(e.Ages), Orders: encodeRollouts(e.Rollouts), Loads: encodeLoads(e.Loads), LoadsWanted: e.LoadsWanted}
 	if e.Update == nil {
 		return m, nil
 	}
--- a/peer/relay/relay.go
+++ b/peer/relay/relay.go
@@ -43,6 +43,8 @@
 	FollowerLeft(directory.FollowerLeft)
 	// FollowerEvidenceReceived processes the evidence of a follower.
 	FollowerEvidenceReceived(directory.FollowerEvidenceReceived)
+	// FollowerLoadsReceived processes the loads of a follower.
+	FollowerLoadsReceived(directory.FollowerLoadsReceived)
 	// KnownRevision returns the revision up to which this VM has the objects of a kind, so that older
 	// updates need not be decoded. It may be called from any goroutine.
 	KnownRevision(directory.Kind) uint64
@@ -68,8 +70,8 @@
 // upstream is the stream from an upstream VM.
 type upstream struct {
 	cancel context.CancelFunc
-	// evidence has capacity 1 and holds the newest evidence that has not been sent yet.
-	evidence chan *relaypb.FollowRequest
+	// evidence and loads have capacity 1 and hold the newest message that has not been sent yet.
+	evidence, loads chan *relaypb.FollowRequest
 }
 
 // follower is the queue of messages for one follower.
@@ -99,7 +101,7 @@
 // the stream. Network closes it in StopFollowing, in a later StartFollowing for vm, and after a failure to send evidence.
 func (n *Network) StartFollowing(ctx context.Context, vm model.VM, address string) {
 	ctx, cancel := context.WithCancel(ctx)
-	u := &upstream{cancel: cancel, evidence: make(chan *relaypb.FollowRequest, 1)}
+	u := &upstream{cancel: cancel, evidence: make(chan *relaypb.FollowRequest, 1), loads: make(chan *relaypb.FollowRequest, 1)}
 	n.mu.Lock()
 	if old, ok := n.upstreams[vm]; ok {
 		old.cancel()
@@ -132,11 +134,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, u := range n.upstreams {
-		select {
-		case <-u.evidence:
-		default:
-		}
-		u.evidence <- m // does not block: only SendEvidence sends, and holds n.mu
+		replaceQueued(u.evidence, m)
 	}
 }
 
@@ -196,7 +194,7 @@
 	if err := stream.Send(&relaypb.FollowRequest{Vm: string(n.self)}); err != nil {
 		return eris.Wrapf(err, "follow VM %s", vm)
 	}
-	go sendEvidence(stream, u)
+	go sendReports(stream, u)
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -210,25 +208,27 @@
 	}
 }
 
-// sendEvidence sends evidence to an upstream until the stream ends. If it cannot send, it ends the
-// stream.
-func sendEvidence(stream relaypb.DRPCRelay_FollowClient, u *upstream) {
+// sendReports sends evidence and loads to an upstream until the stream ends. If it cannot send, it ends
+// the stream.
+func sendReports(stream relaypb.DRPCRelay_FollowClient, u *upstream) {
 	for {
+		var m *relaypb.FollowRequest
 		select {
-		case m := <-u.evidence:
-			if err := stream.Send(m); err != nil {
-				u.cancel()
-				return
-			}
+		case m = <-u.evidence:
+		case m = <-u.loads:
 		case <-stream.Context().Done():
 			return
 		}
+		if err := stream.Send(m); err != nil {
+			u.cancel()
+			return
+		}
 	}
 }
 
-// receiveEvidence passes the evidence of a follower to the handler until the stream ends. Follow
-// reports the end.
-func (n *Network) receiveEvidence(stream relaypb.DRPCRelay_FollowStream) {
+// receiveReports passes the evidence and the loads of a follower to the handler until the stream ends.
+// Follow reports the end.
+func (n *Network) receiveReports(stream relaypb.DRPCRelay_FollowStream) {
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -237,6 +237,11 @@
 		if len(m.GetEvidence())+len(m.GetUsage()) > 0 {
 			n.handler.FollowerEvidenceReceived(directory.FollowerEvidenceReceived{Evidence: decodeEvidence(m), Usage: decodeUsage(m)})
 		}
+		if m.GetLoadsTold() {
+			n.handler.FollowerLoadsReceived(directory.FollowerLoadsReceived{
+				VM: model.VM(m.GetVm()), Loads: decodeLoads(m.GetLoads()), Limited: m.GetLimited(),
+			})
+		}
 	}
 }
 
@@ -251,7 +256,7 @@
 	}
 	defer n.removeFollower(id)
 	n.handler.FollowerJoined(directory.FollowerJoined{Follower: id})
-	go n.receiveEvidence(stream)
+	go n.receiveReports(stream)
 	for {
 		select {
 		case m := <-f.queue:
@@ -289,7 +294,8 @@
 // decodeUpdate decodes a message of an upstream. It omits an update of an unknown kind, and one
 // that is not newer than the objects that this VM has.
 func (n *Network) decodeUpdate(from model.VM, m *relaypb.Update) (directory.UpstreamStatusReceived, error) {
-	status := directory.UpstreamStatusReceived{From: from, Leaving: m.GetLeaving(), Ages: decodeAges(m.GetAgesMicros()), Rollouts: decodeRollouts(m.GetOrders())}
+	status := directory.UpstreamStatusReceived{From: from, Leaving: m.GetLeaving(), Ages: decodeAges(m.GetAgesMicros()), Rollouts: decodeRollouts(m.GetOrders()),
+		Loads: decodeLoads(m.GetLoads()), LoadsWanted: m.GetLoadsWanted()}
 	kind := directory.Kind(m.GetKind())
 	if m.GetRevision() == 0 || int(kind) >= len(status.Ages) {
 		return status, nil
