--- a/core/directory/loads.go
+++ b/core/directory/loads.go
@@ -56,7 +56,6 @@
 	byVM        map[model.VM]toldLoads // own and followers'
 	totalsOf    map[model.VM]toldLoads // by upstream
 	wantedUntil model.Time             // a VM has asked for totals here
-	publishedAt model.Time
 }
 
 func newLoadState() loadState {
