--- a/core/directory/rollouts.go
+++ b/core/directory/rollouts.go
@@ -138,6 +138,9 @@
 	for _, u := range report.Usage {
 		if r, ok := s.runningRollout(u.Order); ok {
 			u.VM, u.Boot = s.cfg.Self, s.cfg.Boot
+			if u.Failed > r.usage.bySource[usageSource{u.VM, u.Boot}].Failed {
+				s.nextEvidenceAt = now // a reader may be about to decide
+			}
 			r.usage.merge(u, now)
 		}
 	}
--- a/core/directory/rollouts_test.go
+++ b/core/directory/rollouts_test.go
@@ -197,3 +197,43 @@
 	is.True(!h.view.Rollouts["set"].Withheld)
 	is.Equal(writtenState(effects), "running at 9")
 }
+
+// Guards against a rollout that is completed just after its target version has begun to fail, since the
+// reader learns of the failures too late.
+func TestFailuresAreReportedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newWithRollout("vm9").confirmRunning()
+	h.reduce(Listed{Kind: KindVMs, Revision: 8, Changes: []Change{vmEntry("vm1"), vmEntry("vm9")}})
+	order := rolloutOrder(model.RolloutOrdered, 6).Value.(*model.Rollout).Order()
+	report := func(sent, failed uint64) int {
+		h.now = h.now.Add(time.Millisecond)
+		return countEffects[SendEvidence](h.reduce(LocalEvidenceReceived{Usage: []model.RolloutUsage{{Order: order, Sent: sent, Failed: failed}}}))
+	}
+	report(5, 0)
+	is.Equal(report(6, 0), 0) // not due
+	is.Equal(report(7, 1), 1)
+}
+
+// Guards against completing a version that fails more often than chance and the old version's failures
+// explain, and against a limit on failures that a good version under faults exceeds.
+func TestFailuresThatForbidCompletion(t *testing.T) {
+	tests := []struct {
+		name  string
+		usage model.RolloutUsage
+		want  bool
+	}{
+		{"none", model.RolloutUsage{Sent: 80, OldSent: 900}, false},
+		{"two by chance", model.RolloutUsage{Sent: 80, Failed: 2, OldSent: 900}, false},
+		{"three, the old version has none", model.RolloutUsage{Sent: 80, Failed: 3, OldSent: 900}, true},
+		{"as often as the old version", model.RolloutUsage{Sent: 80, Failed: 8, OldSent: 900, OldFailed: 90}, false},
+		{"always, as the old version does", model.RolloutUsage{Sent: 40, Failed: 40, OldSent: 900, OldFailed: 900}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var total usageTotal
+			total.merge(tt.usage, 0)
+			is.Equal(total.failsTooOften(), tt.want)
+		})
+	}
+}
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -52,6 +52,7 @@
 	oldSent     float64 // attempts sent to servers of other versions
 	oldFailed   float64 // attempts that such a server has failed
 	loggedAt    model.Time
+	loggedFinal bool // the counts were logged with the result
 	targetKnown bool // the view has servers of the target version
 	// absent means that the view has no rollout of the set any more. The counts are kept for the case
 	// that the same order returns.
@@ -201,19 +202,20 @@
 	}
 	if c.isTarget(&a.server) {
 		c.failed++
+		s.evidenceReportedAt = 0 // due at once, since a completion may be about to be decided
 	} else {
 		c.oldFailed++
 	}
 }
 
-// logExposure logs the counts of each rollout that is not rolled back, at each exposureLogInterval.
+// logExposure logs the counts of each rollout at each exposureLogInterval until it has a result.
 func (s *State) logExposure(now model.Time) {
 	for _, set := range sortedNames(s.canaries) {
 		c := s.canaries[set]
-		if now.Sub(c.loggedAt) < exposureLogInterval || c.absent || c.rollout.State == model.RolloutRolledBack {
+		if now.Sub(c.loggedAt) < exposureLogInterval || c.absent || c.loggedFinal {
 			continue
 		}
-		c.loggedAt = now
+		c.loggedAt, c.loggedFinal = now, c.rollout.State.Final()
 		s.emit(Log{Line: logline.Line{Level: logline.Info, Message: "counts of a rollout", Fields: []logline.Field{
 			logline.F("set", set), logline.F("target", c.rollout.Target), logline.F("state", c.rollout.State.String()),
 			logline.F("withheld", c.rollout.Withheld), logline.F("demand", c.demand), logline.F("requests", c.requests),
--- a/soak/rollouts.go
+++ b/soak/rollouts.go
@@ -72,7 +72,8 @@
 }
 
 // watchRollout waits for the result and then removes the servers of the version that is no longer
-// used.
+// used. At the deadline it repairs the target version: one that turned bad too late to be found is in
+// use by then, and its failures end like every other fault.
 func (dep *deployment) watchRollout(r *rollout) {
 	const poll = 20 * time.Millisecond
 	for time.Since(r.startedAt) < rolloutDuration+resultSlack {
@@ -88,6 +89,7 @@
 		dep.removeServers(func(s *server) bool { return (s.version == r.version) == (r.state == "rolled_back") })
 		time.Sleep(time.Until(r.startedAt.Add(rolloutDuration)))
 		dep.observations.checkExposure(r)
+		dep.repairServers(r.version)
 		dep.observations.clearRollout(r)
 		return
 	}
@@ -96,6 +98,19 @@
 	dep.observations.addViolation("DUTY", "the rollout to %s has no result after %s", r.version, rolloutDuration+resultSlack)
 }
 
+// repairServers ends the failures of the servers of a version.
+func (dep *deployment) repairServers(version string) {
+	dep.mu.Lock()
+	defer dep.mu.Unlock()
+	for _, s := range dep.servers {
+		if s.version == version {
+			s.mu.Lock()
+			s.failShare = 0
+			s.mu.Unlock()
+		}
+	}
+}
+
 // removeServers removes servers of the set "files" without draining them.
 func (dep *deployment) removeServers(remove func(*server) bool) {
 	dep.mu.Lock()
