--- a/core/directory/apply.go
+++ b/core/directory/apply.go
@@ -12,6 +12,9 @@
 			s.log(logline.Warn, "object could not be decoded", logline.F("kind", k), logline.F("name", c.Name),
 				logline.F("revision", c.Revision), logline.F("cause", c.Problem))
 		}
+		if c.Name == "" {
+			continue // nothing is known by which it could be replaced or removed
+		}
 		s.recordObject(k, c)
 		switch k {
 		case KindConfig:
