--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -64,6 +64,7 @@
 	timers             timers
 	wakeAt             model.Time // time of the pending Wake, 0 if there is none
 	stopEnd            model.Time // when the VM stops serving; 0 unless it is stopping
+	answerBy           model.Time // when all requests must be answered; model.Never unless it is stopping
 	effects            []Effect
 }
 
@@ -76,6 +77,7 @@
 		view:     &model.EntryView{ServingVMs: 1},
 		routes:   newRouteTable(nil),
 		loads:    newLoads(),
+		answerBy: model.Never,
 		servers:  make(map[serverKey]*serverStats),
 		budgets:  make(map[model.ReplicaSet]*budget),
 		latency:  make(map[string]*latencies),
@@ -107,7 +109,7 @@
 	case LoadsReceived:
 		s.loadsReceived(ev)
 	case StopStarted:
-		s.stopEnd = ev.End
+		s.startStop(ev)
 	case Woken:
 		s.wakeAt = 0
 	}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -303,7 +303,7 @@
 	is := is.New(t)
 	h := newHarness(t, singleRoute(true))
 	h.addServers("files", 1)
-	h.apply(StopStarted{End: h.now.Add(time.Second)})
+	h.apply(StopStarted{End: h.now.Add(time.Second), AnswerBy: h.now.Add(2 * time.Second)})
 	is.True(hasEffect[Send](h.request("/r/q")))
 	h.now = h.now.Add(time.Second)
 	is.Equal(onlyEffect[Refuse](t, h.request("/r/q")).Code, CodeNotRun)
@@ -446,3 +446,47 @@
 	is.Equal(missing[CountMissingWaiting], 1)
 	is.Equal(missing[CountMissingHedged]+missing[CountMissingFailed], 0)
 }
+
+// Guards against a stopping VM that takes a request which it is not likely to finish, refuses one that
+// it is, or leaves a running one without an answer when the process ends.
+func TestStopTakesOnlyWhatItCanFinish(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		left       time.Duration // until all must be answered
+		taken      bool
+	}{
+		{"fits the deadline", false, 2 * time.Second, true},
+		{"shorter than the deadline, far from the usual latency", true, 500 * time.Millisecond, true},
+		{"less than twice the usual latency", true, 100 * time.Millisecond, false},
+		{"must not be repeated, ten times the usual latency", false, 750 * time.Millisecond, true},
+		{"must not be repeated, less than that", false, 500 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, singleRoute(tt.idempotent)) // a 95th percentile of 70 ms, a deadline of 1 s
+			h.addServers("files", 1)
+			h.apply(StopStarted{End: h.now.Add(time.Hour), AnswerBy: h.now.Add(tt.left)})
+			effects := h.request("/r/q")
+			if !tt.taken {
+				is.Equal(onlyEffect[Refuse](t, effects).Code, CodeNotRun)
+				is.Equal(len(h.sends), 0)
+				return
+			}
+			is.Equal(len(h.sends), 1)
+			is.Equal(onlyEffect[Refuse](t, h.advance(min(tt.left, 985*time.Millisecond))).Code, CodeTimeout)
+		})
+	}
+}
+
+// Guards against a request that was running when the stop began and is cut by the end of the process.
+func TestStopAnswersRunningRequests(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, singleRoute(false))
+	h.addServers("files", 1)
+	h.request("/r/q")
+	h.apply(StopStarted{End: h.now, AnswerBy: h.now.Add(300 * time.Millisecond)})
+	is.True(!hasEffect[Refuse](h.advance(299 * time.Millisecond)))
+	is.Equal(onlyEffect[Refuse](t, h.advance(time.Millisecond)).Code, CodeTimeout)
+}
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -48,8 +48,8 @@
 	// Woken reports that the time of the last Wake has been reached.
 	Woken struct{}
 	// StopStarted reports that the VM is about to stop. It declines forwarded queries from now on,
-	// and refuses requests from End on.
-	StopStarted struct{ End model.Time }
+	// refuses requests from End on, and has answered all requests by AnswerBy.
+	StopStarted struct{ End, AnswerBy model.Time }
 )
 
 func (RequestReceived) event() {}
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -93,10 +93,11 @@
 	q.route = r
 	q.latency = s.latencyOf(r.EntryRoute, now)
 	s.setTimes(q, ev.CallerTimeout)
-	if s.stopEnd != 0 && now >= s.stopEnd {
+	if s.stopEnd != 0 && (now >= s.stopEnd || !s.canFinish(q, now)) {
 		s.refuse(q, CodeNotRun, "the VM is stopping", now)
 		return
 	}
+	q.endBy(s.answerBy)
 	if s.unconfirmed {
 		s.refuse(q, CodeNotRun, "the view of this VM is not confirmed yet", now)
 		return
@@ -127,6 +128,12 @@
 	}
 }
 
+// endBy moves the deadline of a query to a time, unless it is earlier.
+func (q *query) endBy(at model.Time) {
+	q.deadline = min(q.deadline, at)
+	q.partialAt = min(q.partialAt, at)
+}
+
 func (s *State) setShards(q *query) {
 	sets := q.route.Shards
 	if !q.route.Gathers() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,7 +90,8 @@
 	// ReadSlack is added to the wait time of a store watch to get its timeout.
 	ReadSlack time.Duration
 	// DrainDelay is the time after the start of a stop for which new requests are still accepted.
-	DrainDelay time.Duration
+	// AnswerDelay is the time by which all requests have been answered.
+	DrainDelay, AnswerDelay time.Duration
 }
 
 const (
@@ -110,6 +111,9 @@
 	if c.ReadSlack <= 0 || c.DrainDelay <= 0 {
 		return errors.New("entry: timeout ReadSlack or DrainDelay is not positive")
 	}
+	if c.AnswerDelay < c.DrainDelay {
+		return errors.New("entry: AnswerDelay is shorter than DrainDelay")
+	}
 	if err := c.directoryConfig().Validate(); err != nil {
 		return err
 	}
@@ -126,7 +130,8 @@
 	return dispatch.Config{Self: c.VM.Name, Zone: c.VM.Zone, Seed: c.Seed, Budget: c.Budget, Cold: c.Cold, Canary: c.Canary}
 }
 
-// DefaultConfig returns default settings for a VM. It leaves DrainDelay, Budget, Cold and Canary zero.
+// DefaultConfig returns default settings for a VM. It leaves DrainDelay, AnswerDelay, Budget, Cold and
+// Canary zero.
 func DefaultConfig(vm model.EntryVM) Config {
 	return Config{
 		VM:        vm,
@@ -245,12 +250,14 @@
 	return 0
 }
 
-// Stop makes the VM unready. Requests that arrive more than Config.DrainDelay later are refused.
+// Stop makes the VM unready. Requests that arrive more than Config.DrainDelay later are refused, and all
+// requests are answered before Config.AnswerDelay has passed.
 func (t *Tier) Stop() {
 	t.readyOnce.Store(true)
 	t.ready.Store(false)
 	t.relay.AnnounceLeave()
-	t.trafficEvents <- dispatch.StopStarted{End: t.now().Add(t.cfg.DrainDelay)}
+	now := t.now()
+	t.trafficEvents <- dispatch.StopStarted{End: now.Add(t.cfg.DrainDelay), AnswerBy: now.Add(t.cfg.AnswerDelay)}
 }
 
 // Handle answers one request. The second result is false if ctx ended before the answer.
