--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -49,14 +49,17 @@
 	routes      *routeTable
 	servers     map[serverKey]*serverStats
 	limited     int // servers with a stated limit
-	loads       loads
-	budgets     map[model.ReplicaSet]*budget
-	latency     map[string]*latencies // by route name
-	queries     map[model.QueryID]*query
-	attempts    map[model.AttemptID]*attempt
-	senders     map[model.VM]*sender
-	canaries    map[model.ReplicaSet]*canary
-	pairer      *moves.Pairer // pairs outcomes of the old and the new version while a rollout runs
+	bound       int // servers with a limit, and those that rest or leave
+	// noticesCountedAt is when limited and bound were counted.
+	noticesCountedAt model.Time
+	loads            loads
+	budgets          map[model.ReplicaSet]*budget
+	latency          map[string]*latencies // by route name
+	queries          map[model.QueryID]*query
+	attempts         map[model.AttemptID]*attempt
+	senders          map[model.VM]*sender
+	canaries         map[model.ReplicaSet]*canary
+	pairer           *moves.Pairer // pairs outcomes of the old and the new version while a rollout runs
 	// seenVersion is the newest configuration version with which a sender has answered.
 	seenVersion        uint64
 	evidenceReportedAt model.Time      // time of the last ReportEvidence
@@ -149,7 +152,7 @@
 		}
 	}
 	for k, srv := range s.servers {
-		if !known[k] && len(srv.running) == 0 && !srv.limit.active(now) {
+		if !known[k] && len(srv.running) == 0 && !srv.bound(now) {
 			delete(s.servers, k)
 		}
 	}
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -93,6 +93,10 @@
 	// Limit is the number of requests a second that the server takes from all VMs together; 0 if it
 	// states none.
 	Limit float64
+	// Leaving means that the server is about to leave and wants no further request.
+	Leaving bool
+	// Rest is the time for which the server wants no request from this VM; 0 if it states none.
+	Rest time.Duration
 }
 
 // Reply is a backend server's answer.
@@ -223,6 +227,8 @@
 	CountMissingFailed
 	// CountAtLimit counts the queries refused at once because servers are at the limits that they state.
 	CountAtLimit
+	// CountRests counts the answers with which servers asked for a time without requests.
+	CountRests
 	counters
 )
 
@@ -231,7 +237,7 @@
 	"refusals.not_run", "refusals.failed", "refusals.timeout", "refusals.no_route", "callers.gone",
 	"attempts", "attempts.hedges", "attempts.retries", "retry_budget.empty",
 	"attempts.answered", "attempts.not_sent", "attempts.not_run", "attempts.misdirected", "attempts.unclear", "attempts.late_replies", "queries.forwarded", "attempts.canary",
-	"missing_shards.waiting", "missing_shards.hedged", "missing_shards.no_budget", "missing_shards.failed", "refusals.at_limit",
+	"missing_shards.waiting", "missing_shards.hedged", "missing_shards.no_budget", "missing_shards.failed", "refusals.at_limit", "servers.rests",
 }
 
 // String returns the name of the counter in the metrics.
--- a/core/dispatch/forward.go
+++ b/core/dispatch/forward.go
@@ -172,7 +172,7 @@
 func (s *State) sendLocally(q *query, now model.Time) {
 	s.setShards(q)
 	s.countLoad(q.route, now)
-	if s.refuseAtLimit(q, now) {
+	if s.refuseAtOnce(q, now) {
 		return
 	}
 	for i := range q.shards {
--- a/core/dispatch/limit.go
+++ b/core/dispatch/limit.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/gooseberrylock/gooseberrylock/core/logline"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -20,8 +19,6 @@
 	// lessUrgentShare is the fraction of a VM's part that requests may use if a more urgent route needs
 	// the same replica set.
 	lessUrgentShare = 0.75
-	// maxRetryAfter bounds the delay after which callers may return for a server that is at its limit.
-	maxRetryAfter = 2 * time.Second
 )
 
 // requestLimit is the limit that a server has stated, with this VM's requests in the last limitWindow.
@@ -76,86 +73,3 @@
 	}
 	return srv.limit.nextAt(part, srv.rank, now)
 }
-
-// roomAt returns the earliest time at which a server of a shard may have room for an attempt, or
-// model.Never if none is usable. A server that is at another bound may have room at any time.
-func (s *State) roomAt(q *query, sh *shard, now model.Time) model.Time {
-	at := model.Never
-	replicas := s.view.Replicas[sh.set]
-	for i := range replicas {
-		r := &replicas[i]
-		srv := s.statsOf(r)
-		if sh.attempted(r.ID) || srv.reassignedAddress == r.Address || s.excluded(r, now) {
-			continue
-		}
-		at = min(at, max(s.limitNextAt(q.route, r, srv, now), now.Add(noRoomDelay)))
-	}
-	return at
-}
-
-// uselessAfter returns the time after which an attempt would be answered too late for its query.
-func (q *query) uselessAfter() model.Time { return q.partialAt.Add(-q.latency.median) }
-
-// refuseAtLimit refuses a query at once if the limits that servers have stated leave too few shards that
-// can answer in time, and reports whether it did. Callers are told to return when the next servers have
-// room, spread over twice that time.
-func (s *State) refuseAtLimit(q *query, now model.Time) bool {
-	if s.limited == 0 {
-		return false
-	}
-	open, next := 0, model.Never
-	for i := range q.shards {
-		sh := &q.shards[i]
-		if s.pick(q, sh, now) != nil || !s.hasUsableServer(sh.set, now) {
-			open++
-			continue
-		}
-		at := s.roomAt(q, sh, now)
-		if at <= q.uselessAfter() {
-			open++
-		} else {
-			next = min(next, at)
-		}
-	}
-	if next == model.Never && open == len(q.shards) || q.route.Gathers() && q.meetsMinCoverage(open) {
-		return false
-	}
-	wait := min(max(next.Sub(now), retryAfter), maxRetryAfter)
-	q.retryAfter = wait + time.Duration(s.rng.Float64()*float64(wait))
-	s.count(CountAtLimit)
-	s.refuse(q, CodeNotRun, "the servers are at the limits that they state", now)
-	return true
-}
-
-// observeNotice records what a server says of itself. An answer without a limit ends the limit only if
-// its request was sent after the last answer that stated one, since answers may overtake each other.
-func (s *State) observeNotice(a *attempt, ev AttemptEnded, now model.Time) {
-	if ev.Outcome != Answered && ev.Outcome != NotRun && ev.Notice == (Notice{}) {
-		return
-	}
-	l := &a.stats.limit
-	stated := ev.Notice.Limit
-	switch {
-	case stated > 0:
-		l.statedAt = now
-	case a.sent < l.statedAt:
-		return
-	}
-	if stated == l.perSecond {
-		return
-	}
-	s.log(logline.Info, "server has stated another limit", a.query, logline.F("set", a.server.Set), logline.F("server", a.server.ID),
-		logline.F("per_second", stated), logline.F("before", l.perSecond), logline.F("share", s.loadShare(a.query.route, a.server.Set)))
-	l.perSecond = stated
-	s.countLimits(now)
-}
-
-// countLimits counts the servers with a limit.
-func (s *State) countLimits(now model.Time) {
-	s.limited = 0
-	for _, srv := range s.servers {
-		if srv.limit.active(now) {
-			s.limited++
-		}
-	}
-}
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -95,7 +95,7 @@
 		return
 	}
 	s.loads.reportedAt = now
-	s.countLimits(now)
+	s.countNotices(now)
 	report := ReportLoads{Limited: s.limited > 0}
 	s.loads.previous, s.loads.reported = s.loads.reported, make(map[string]float64)
 	for _, name := range sortedNames(s.loads.rates) {
--- a/core/dispatch/pick.go
+++ b/core/dispatch/pick.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		srv := s.statsOf(r)
-		if len(srv.running) >= limit || srv.reassignedAddress == r.Address || !s.coldAllows(q, sh.set, srv, now) || s.limitNextAt(q.route, r, srv, now) > now {
+		if len(srv.running) >= limit || srv.reassignedAddress == r.Address || !s.coldAllows(q, sh.set, srv, now) || s.noticeNextAt(q.route, r, srv, now) > now {
 			continue
 		}
 		wait := srv.expectedWait(r, q.latency, now)
--- a/core/dispatch/query.go
+++ b/core/dispatch/query.go
@@ -161,7 +161,7 @@
 	}
 	at := s.roomAt(q, sh, now)
 	if at > q.uselessAfter() && at > now.Add(noRoomDelay) {
-		sh.cause = "the servers are at the limits that they state"
+		sh.cause = "the servers take no more requests for now"
 		s.failShard(q, sh)
 		return
 	}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -63,7 +63,9 @@
 	answeredAt        model.Time // last answer of any kind
 	cold              coldStart
 	limit             requestLimit
-	rank              float64 // rank of the server for this VM, in [0, 1)
+	leavingAt         model.Time // when the server first said that it leaves, 0 if it has not
+	restUntil         model.Time // until then the server wants no request
+	rank              float64    // rank of the server for this VM, in [0, 1)
 }
 
 func newServerStats(self model.VM, id model.BackendServerID) *serverStats {
