--- a/core/directory/apply.go
+++ b/core/directory/apply.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/gooseberrylock/gooseberrylock/core/logline"
 	"github.com/gooseberrylock/gooseberrylock/model"
+	"maps"
+	"slices"
 )
 
 // apply updates the cached objects of a kind and logs those that could not be decoded.
@@ -108,7 +110,7 @@
 		return
 	}
 	s.expiryGraceUntil = 0
-	for _, name := range sortedKeys(s.replicas) {
+	for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
 		if s.replicas[name].expired {
 			delete(s.replicas, name)
 			s.viewChanged, s.replicasChanged = true, true
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -313,7 +314,7 @@
 		ConfirmedAt: s.reads[KindConfig].confirmedAt,
 		Unconfirmed: s.unconfirmed() || !s.Ready(),
 	}
-	for _, name := range sortedKeys(s.replicas) {
+	for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
 		r := s.replicas[name].value
 		if !r.Draining && !s.zonesOut[string(r.Zone)] {
 			v.Replicas[r.Set] = append(v.Replicas[r.Set], r)
@@ -389,12 +390,3 @@
 	}
 	return max(n, 1)
 }
-
-func sortedKeys[K ~string, T any](m map[K]T) []K {
-	names := make([]K, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/core/directory/loads.go
+++ b/core/directory/loads.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/model"
@@ -97,7 +99,7 @@
 // A VM that does not see all others knows too small a total, from which its part would be too large.
 func (s *State) publishLoads(wanted bool, now model.Time) {
 	totals := s.totalLoads(now)
-	for _, vm := range sortedKeys(s.loads.totalsOf) {
+	for _, vm := range slices.Sorted(maps.Keys(s.loads.totalsOf)) {
 		told := s.loads.totalsOf[vm]
 		if now.Sub(told.at) >= loadTimeout {
 			delete(s.loads.totalsOf, vm)
@@ -111,7 +113,7 @@
 // totalLoads returns the sums of the loads that this VM and its followers have told lately.
 func (s *State) totalLoads(now model.Time) []model.RouteLoad {
 	sums := make(map[string]float64)
-	for _, vm := range sortedKeys(s.loads.byVM) {
+	for _, vm := range slices.Sorted(maps.Keys(s.loads.byVM)) {
 		told := s.loads.byVM[vm]
 		if now.Sub(told.at) >= loadTimeout {
 			delete(s.loads.byVM, vm)
@@ -137,7 +139,7 @@
 
 func sortedLoads(perSecond map[string]float64) []model.RouteLoad {
 	var loads []model.RouteLoad
-	for _, route := range sortedKeys(perSecond) {
+	for _, route := range slices.Sorted(maps.Keys(perSecond)) {
 		loads = append(loads, model.RouteLoad{Route: route, PerSecond: perSecond[route]})
 	}
 	return loads
--- a/core/directory/peers.go
+++ b/core/directory/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -35,7 +36,7 @@
 		return s.vmOrder
 	}
 	vms := make([]model.EntryVM, 0, len(s.vms))
-	for _, name := range sortedKeys(s.vms) {
+	for _, name := range slices.Sorted(maps.Keys(s.vms)) {
 		vms = append(vms, s.vms[name].value)
 	}
 	slices.SortStableFunc(vms, func(a, b model.EntryVM) int {
@@ -62,14 +63,14 @@
 // chooseUpstreams drops upstreams that have timed out or are no longer wanted and follows the
 // wanted ones.
 func (s *State) chooseUpstreams(now model.Time) {
-	for _, vm := range sortedKeys(s.upstreams) {
+	for _, vm := range slices.Sorted(maps.Keys(s.upstreams)) {
 		if now.Sub(s.upstreams[vm].lastStatusAt) >= s.cfg.UpstreamTimeout {
 			s.emit(Unfollow{VM: vm})
 			s.markUnreachable(vm, "silent", now)
 		}
 	}
 	wanted := s.wantedUpstreams(now)
-	for _, vm := range sortedKeys(s.upstreams) {
+	for _, vm := range slices.Sorted(maps.Keys(s.upstreams)) {
 		if !slices.ContainsFunc(wanted, func(w model.EntryVM) bool { return w.Name == vm }) {
 			delete(s.upstreams, vm)
 			s.emit(Unfollow{VM: vm})
@@ -166,7 +167,7 @@
 			continue
 		}
 		u := &Update{Kind: Kind(k), Full: true, Revision: r.revision}
-		for _, name := range sortedKeys(s.objects[k]) {
+		for _, name := range slices.Sorted(maps.Keys(s.objects[k])) {
 			u.Changes = append(u.Changes, s.objects[k][name])
 		}
 		s.emit(SendUpdate{Follower: follower, Ages: s.ages(now), Rollouts: s.rolloutStatuses(now), Update: u})
--- a/core/directory/reads.go
+++ b/core/directory/reads.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/gooseberrylock/gooseberrylock/core/logline"
 	"github.com/gooseberrylock/gooseberrylock/model"
+	"maps"
+	"slices"
 )
 
 // readState is the state of the cached objects of one kind and of the reads that keep them fresh.
@@ -213,7 +215,7 @@
 		listed[c.Name] = true
 	}
 	var removed []Change
-	for _, name := range sortedKeys(s.objects[u.Kind]) {
+	for _, name := range slices.Sorted(maps.Keys(s.objects[u.Kind])) {
 		if !listed[name] {
 			removed = append(removed, Change{Name: name, Revision: u.Revision, Removed: true})
 		}
--- a/core/directory/versions.go
+++ b/core/directory/versions.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/logline"
@@ -34,9 +36,9 @@
 	s.replicasChanged = false
 	oldest := s.oldestVersions()
 	s.forgetVersions(oldest)
-	for _, set := range sortedKeys(oldest) {
+	for _, set := range slices.Sorted(maps.Keys(oldest)) {
 		first := oldest[set]
-		for _, id := range sortedKeys(first.versions) {
+		for _, id := range slices.Sorted(maps.Keys(first.versions)) {
 			s.updateVersion(version{set, id}, id == first.id, now)
 		}
 	}
@@ -51,7 +53,7 @@
 
 func (s *State) oldestVersions() map[model.ReplicaSet]*setVersions {
 	sets := make(map[model.ReplicaSet]*setVersions)
-	for _, name := range sortedKeys(s.replicas) {
+	for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
 		r := &s.replicas[name].value
 		v, ok := sets[r.Set]
 		if !ok {
@@ -110,7 +112,7 @@
 func (s *State) orderFor(v version) (model.Rollout, bool) {
 	var newest model.Rollout
 	found := false
-	for _, name := range sortedKeys(s.rollouts) {
+	for _, name := range slices.Sorted(maps.Keys(s.rollouts)) {
 		if o := s.rollouts[name].order; o.Set == v.set && o.Target == v.id && (!found || o.Created > newest.Created) {
 			newest, found = o, true
 		}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -143,7 +144,7 @@
 	s.unconfirmed = view.Unconfirmed
 	s.applyRollouts(now)
 	known := make(map[serverKey]bool)
-	for _, set := range sortedNames(view.Replicas) {
+	for _, set := range slices.Sorted(maps.Keys(view.Replicas)) {
 		replicas := view.Replicas[set]
 		s.logVersions(set, replicas)
 		for i := range replicas {
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/model"
@@ -98,7 +100,7 @@
 	s.countNotices(now)
 	report := ReportLoads{Limited: s.limited > 0}
 	s.loads.previous, s.loads.reported = s.loads.reported, make(map[string]float64)
-	for _, name := range sortedNames(s.loads.rates) {
+	for _, name := range slices.Sorted(maps.Keys(s.loads.rates)) {
 		perSecond := s.loads.rates[name].perSecond(now)
 		if perSecond == 0 {
 			delete(s.loads.rates, name)
--- a/internal/fleetsim/exposure_test.go
+++ b/internal/fleetsim/exposure_test.go
@@ -141,7 +141,7 @@
 func TestExposureWhileOldServersFail(t *testing.T) {
 	checkExposure(t, 0, func(f *fleet) {
 		f.perSec = 200
-		f.change(oldVersion, func(s *server) { s.badFrom = f.now })
+		f.change(oldVersion, func(s *server) { s.badFrom = f.now() })
 		f.after(11*time.Second, func() { f.change(oldVersion, func(s *server) { s.badFrom = model.Never }) })
 	})
 }
@@ -190,7 +190,7 @@
 	case 2:
 		return change(func(s *server, on bool) {
 			if s.badFrom = model.Never; on {
-				s.badFrom = f.now
+				s.badFrom = f.now()
 			}
 		})
 	case 3:
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -3,12 +3,12 @@
 package fleetsim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/directory"
+	"github.com/gooseberrylock/gooseberrylock/internal/vtime"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -24,38 +24,15 @@
 	canarySlack = 50
 )
 
-// task is a function that the fleet calls at a time.
-type task struct {
-	at  model.Time
-	seq int
-	run func()
-}
-
-type tasks []task
-
-func (t tasks) Len() int { return len(t) }
-func (t tasks) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
-}
-func (t tasks) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *tasks) Push(x any)   { *t = append(*t, x.(task)) }
-func (t *tasks) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return last
-}
-
 // fleet is a deployment of entry VMs with a store and the servers of one replica set.
 type fleet struct {
-	rng     *rand.Rand
-	now     model.Time
-	tasks   tasks
-	seq     int
-	store   *store
-	vms     []*vm
-	servers map[model.BackendServerID]*server
-	perSec  float64 // requests of all callers, a second
+	scheduler *vtime.Scheduler
+	rng       *rand.Rand
+	lastID    int // of the streams and wake-ups of all VMs
+	store     *store
+	vms       []*vm
+	servers   map[model.BackendServerID]*server
+	perSec    float64 // requests of all callers, a second
 	// badShare is the share of failures among the answers of a bad version.
 	badShare float64
 	duration time.Duration // of a rollout
@@ -74,7 +51,7 @@
 }
 
 func newFleet(seed uint64, vms int, perSec float64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), servers: make(map[model.BackendServerID]*server), perSec: perSec, badShare: 1, duration: 12 * time.Second}
+	f := &fleet{scheduler: vtime.NewScheduler(seed), rng: rand.New(rand.NewPCG(seed, 1)), servers: make(map[model.BackendServerID]*server), perSec: perSec, badShare: 1, duration: 12 * time.Second}
 	f.store = &store{fleet: f, objects: make(map[directory.Kind]map[string]directory.Change)}
 	route := model.EntryRoute{
 		Name: "read", Host: "shop.example", PathPrefix: "/", Idempotent: true, Timeout: 2 * time.Second,
@@ -94,18 +71,17 @@
 }
 
 func (f *fleet) after(d time.Duration, run func()) {
-	f.seq++
-	heap.Push(&f.tasks, task{at: f.now.Add(d), seq: f.seq, run: run})
+	f.scheduler.After(d, run)
 }
 
 // runUntil carries out all tasks up to a time.
-func (f *fleet) runUntil(end model.Time) {
-	for len(f.tasks) > 0 && f.tasks[0].at <= end {
-		t := heap.Pop(&f.tasks).(task)
-		f.now = t.at
-		t.run()
-	}
-	f.now = end
+func (f *fleet) runUntil(end model.Time) { f.scheduler.RunUntil(time.Duration(end)) }
+
+func (f *fleet) now() model.Time { return model.Time(f.scheduler.Now()) }
+
+func (f *fleet) nextID() int {
+	f.lastID++
+	return f.lastID
 }
 
 // sendRequest sends one request to a running VM and schedules the next one.
@@ -133,7 +109,7 @@
 	for i := range n {
 		r := model.Replica{
 			ID: model.BackendServerID(fmt.Sprintf("%s-%d", version, i)), Set: set, Address: fmt.Sprintf("%s-%d:1", version, i),
-			Version: version, Slots: 3, StartedAt: time.UnixMilli(int64(time.Duration(f.now)/time.Millisecond) + 1), Sequence: 1,
+			Version: version, Slots: 3, StartedAt: time.UnixMilli(int64(time.Duration(f.now())/time.Millisecond) + 1), Sequence: 1,
 		}
 		f.servers[r.ID] = &server{value: r, badFrom: badFrom}
 		f.store.put(directory.KindReplicas, string(r.ID), func(uint64) directory.Value { return &r })
@@ -154,10 +130,10 @@
 func (f *fleet) startRollout(badFrom time.Duration) {
 	bad := model.Never
 	if badFrom >= 0 {
-		bad = f.now.Add(badFrom)
+		bad = f.now().Add(badFrom)
 	}
 	f.addServers(newVersion, 2, bad)
-	f.seen = observer{fleet: f, ordered: f.now, duration: f.duration, requests: make(map[int]bool), target: make(map[int]bool)}
+	f.seen = observer{fleet: f, ordered: f.now(), duration: f.duration, requests: make(map[int]bool), target: make(map[int]bool)}
 	f.store.put(directory.KindRollouts, string(set), func(rev uint64) directory.Value {
 		return &model.Rollout{Name: string(set), Set: set, Target: newVersion, Duration: f.duration, Revision: rev, Created: rev}
 	})
@@ -190,7 +166,7 @@
 	if o.requests == nil {
 		return // before the order
 	}
-	now := o.fleet.now
+	now := o.fleet.now()
 	// After completion there is no other version to which a request could go.
 	if o.badLimit != 0 && version == newVersion && now.Sub(o.badLimit) > rollbackBound && o.state != model.RolloutCompleted {
 		o.late++
@@ -211,7 +187,7 @@
 		return
 	}
 	if o.bad++; o.bad == maxBadAnswers {
-		o.badLimit = o.fleet.now
+		o.badLimit = o.fleet.now()
 	}
 }
 
--- a/internal/fleetsim/limit_test.go
+++ b/internal/fleetsim/limit_test.go
@@ -42,12 +42,12 @@
 	}
 	id := s.value.ID
 	if o.told[id] == nil {
-		o.statedAt[id] = o.fleet.now
+		o.statedAt[id] = o.fleet.now()
 		o.told[id] = make(map[process]model.Time)
 	}
 	p := process{v.name, v.boot}
 	if _, ok := o.told[id][p]; !ok {
-		o.told[id][p] = o.fleet.now.Add(messageTime)
+		o.told[id][p] = o.fleet.now().Add(messageTime)
 	}
 }
 
@@ -55,7 +55,7 @@
 	if o.fleet == nil || s.limit == 0 {
 		return
 	}
-	id, now := s.value.ID, o.fleet.now
+	id, now := s.value.ID, o.fleet.now()
 	inForce := o.statedAt[id] != 0 && now.Sub(o.statedAt[id]) >= limitInForceAfter
 	if inForce {
 		o.total++
--- a/internal/fleetsim/store_test.go
+++ b/internal/fleetsim/store_test.go
@@ -99,7 +99,7 @@
 				r.State, r.Revision = e.State, rev
 				return &r
 			})
-			s.fleet.seen.state, s.fleet.seen.stateAt = e.State, s.fleet.now
+			s.fleet.seen.state, s.fleet.seen.stateAt = e.State, s.fleet.now()
 		} else {
 			cause = "conflict"
 		}
--- a/internal/fleetsim/vm_test.go
+++ b/internal/fleetsim/vm_test.go
@@ -36,7 +36,7 @@
 func (v *vm) start() {
 	v.boot++
 	v.running = true
-	v.startedAt = v.fleet.now
+	v.startedAt = v.fleet.now()
 	limit := model.RolloutLimit{Share: canaryShare, Slack: canarySlack}
 	control := directory.DefaultConfig(v.name, v.boot)
 	control.Canary = limit
@@ -80,8 +80,7 @@
 // wakeAt calls run at a time of the process's clock, unless the pending wake-up has another number by
 // then. It returns the new number.
 func (v *vm) wakeAt(at model.Time, pending *int, run func()) int {
-	v.fleet.seq++
-	number := v.fleet.seq
+	number := v.fleet.nextID()
 	v.later(max(at.Sub(v.now()), 0), func() {
 		if *pending == number {
 			run()
@@ -91,7 +90,7 @@
 }
 
 // now returns the time since the start of the process.
-func (v *vm) now() model.Time { return model.Time(v.fleet.now.Sub(v.startedAt)) }
+func (v *vm) now() model.Time { return model.Time(v.fleet.now().Sub(v.startedAt)) }
 
 func (v *vm) reduceControl(ev directory.Event) {
 	for _, e := range v.control.Reduce(ev, v.now()) {
@@ -162,8 +161,7 @@
 			v.reduceControl(directory.FollowEnded{From: name, Cause: "refused"})
 			return
 		}
-		v.fleet.seq++
-		id := uint64(v.fleet.seq)
+		id := uint64(v.fleet.nextID())
 		v.upstreams[name] = id
 		upstream.followers[id] = v
 		upstream.reduceControl(directory.FollowerJoined{Follower: id})
@@ -225,7 +223,7 @@
 	v.later(messageTime, func() {
 		v.fleet.seen.arrived(v, request, s.value.Version)
 		v.fleet.limited.arrived(v, s)
-		bad := v.fleet.now >= s.badFrom && v.fleet.rng.Float64() < v.fleet.badShare
+		bad := v.fleet.now() >= s.badFrom && v.fleet.rng.Float64() < v.fleet.badShare
 		work := 5*time.Millisecond + time.Duration(v.fleet.rng.ExpFloat64()*float64(5*time.Millisecond))
 		if s.slow {
 			work += slowWork
