--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -52,6 +52,9 @@
 	shedShare        float64       // share of requests that are refused without running
 	failShare        float64       // share of requests that run and are answered with a failure
 	drainingSince    time.Time     // time at which the store acknowledged the draining state, zero if none
+	notice           notice        // what it says of itself, "" if nothing
+	noticeNumber     int           // number of notices so far
+	starts           int           // number of restarts so far
 }
 
 // deployment is the store, the entry VMs and the backend servers of one run, and what was observed.
@@ -209,9 +212,15 @@
 		work := baseServiceTime + s.extraServiceTime
 		lose, shed, fail := rand.Float64() < s.lostShare, rand.Float64() < s.shedShare, rand.Float64() < s.failShare
 		since := s.drainingSince
+		kind, source := s.notice, noticeSource{s, s.noticeNumber}
 		s.mu.Unlock()
 		dep.observations.recordArrival(s, id, since)
-		if shed {
+		if kind != "" {
+			dep.observations.checkNotice(source, kind, id)
+			dep.observations.recordNotice(source, kind, id)
+			setNotice(kind, rw.Header())
+		}
+		if shed || kind == noticeRest {
 			platformtest.Shed(rw)
 			return
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -97,11 +98,13 @@
 func (dep *deployment) randomFaultMode() mode { return faultModes[dep.rng.IntN(len(faultModes))] }
 
 // randomServer returns a server other than the probe.
-func (dep *deployment) randomServer() *server {
+func (dep *deployment) randomServer() *server { return dep.pickServer(dep.rng) }
+
+func (dep *deployment) pickServer(rng *rand.Rand) *server {
 	dep.mu.Lock()
 	defer dep.mu.Unlock()
 	for {
-		if s := dep.servers[dep.rng.IntN(len(dep.servers))]; s.set != "probe" {
+		if s := dep.servers[rng.IntN(len(dep.servers))]; s.set != "probe" {
 			return s
 		}
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -114,7 +114,10 @@
 	faultCtx, endFaults := context.WithTimeout(ctx, o.duration)
 	defer endFaults()
 	go dep.printProgress(callCtx)
+	var notices sync.WaitGroup
+	notices.Go(func() { dep.injectNotices(faultCtx, o.seed) })
 	dep.injectFaults(faultCtx)
+	notices.Wait()
 	faultsEnded := time.Now()
 	sleep(ctx, recoveryTime)
 	settled := time.Now()
--- a/soak/observations.go
+++ b/soak/observations.go
@@ -21,8 +21,9 @@
 	newestConfigs   map[string]seenVersion    // newest version seen, by daemon and incarnation
 	daemonByRequest map[string]*daemon        // daemon that the request was sent to
 	outcomeCounts   map[string][]int          // number of requests by outcome and second
-	rollout         *rollout                  // current rollout, kept until the servers of the losing version are removed
-	rolloutResults  []string                  // one line for each finished rollout
+	notices         noticeRecord
+	rollout         *rollout // current rollout, kept until the servers of the losing version are removed
+	rolloutResults  []string // one line for each finished rollout
 	violations      []string
 	faults          []faultInterval
 }
@@ -38,7 +39,7 @@
 		startedAt: time.Now(), runs: make(map[string]int), reportedNotRun: make(map[string]bool),
 		arrivals: make(map[string]map[string]int), extraAttempts: make(map[string][]time.Time),
 		requestTimes: make(map[string][]time.Time), configAcks: make(map[int]time.Time), newestConfigs: make(map[string]seenVersion),
-		daemonByRequest: make(map[string]*daemon), outcomeCounts: make(map[string][]int),
+		notices: newNoticeRecord(), daemonByRequest: make(map[string]*daemon), outcomeCounts: make(map[string][]int),
 	}
 }
 
--- a/soak/rollouts.go
+++ b/soak/rollouts.go
@@ -196,9 +196,15 @@
 	}
 }
 
-// serverSpec returns the registration of a server, with its version.
+// firstStart is the time of a server's first start in its registration, in milliseconds.
+const firstStart = 1000
+
+// serverSpec returns the registration of a server, with its version and its start.
 func serverSpec(s *server, state string) map[string]any {
 	spec := platformtest.ServerSpec(s.set, s.proxy.address(), state)
 	spec["version"] = s.version
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	spec["born"] = firstStart + s.starts
 	return spec
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,6 +86,30 @@
 			}
 			obs.recordRolloutResult(r, "completed")
 		}},
+		{"LEAVING", func(obs *observations) {
+			d, source := undisturbedDaemon(), noticeSource{testServer("f1"), 1}
+			obs.recordRequest("r-1", d, nil)
+			obs.notices.toldAt[toldProcess{source, d, 0}] = time.Now().Add(-2 * drainBound)
+			obs.checkNotice(source, noticeLeaving, "r-1")
+		}},
+		{"REST", func(obs *observations) {
+			d, source := undisturbedDaemon(), noticeSource{testServer("f1"), 1}
+			obs.recordRequest("r-1", d, nil)
+			obs.notices.toldAt[toldProcess{source, d, 0}] = time.Now().Add(-time.Second)
+			for range maxRestArrivals + 1 {
+				obs.checkNotice(source, noticeRest, "r-1")
+				obs.recordNotice(source, noticeRest, "r-1")
+			}
+		}},
+		{"LIMIT", func(obs *observations) {
+			d, source := undisturbedDaemon(), noticeSource{testServer("f1"), 1}
+			obs.recordRequest("r-1", d, nil)
+			obs.notices.firstAt[source] = time.Now().Add(-2 * limitInForceAfter)
+			obs.notices.toldAt[toldProcess{source, d, 0}] = time.Now().Add(-time.Second)
+			for range 100 {
+				obs.checkNotice(source, noticeLimit, "r-1")
+			}
+		}},
 		{"BUDGET", func(obs *observations) {
 			for i := range 60 {
 				id := fmt.Sprintf("r-%d", i)
