--- a/core/directory/apply.go
+++ b/core/directory/apply.go
@@ -81,7 +81,7 @@
 		return
 	}
 	s.replicas[c.Name] = &replica{value: *r}
-	s.viewChanged, s.replicasChanged = true, true
+	s.viewChanged, s.versionsDue = true, true
 	if !known || old.value.Draining != r.Draining || !old.value.StartedAt.Equal(r.StartedAt) {
 		s.log(logline.Info, "server", logline.F("server", r.ID), logline.F("set", r.Set), logline.F("version", r.Version), logline.F("address", r.Address),
 			logline.F("zone", r.Zone), logline.F("draining", r.Draining), logline.F("revision", c.Revision))
@@ -99,7 +99,7 @@
 		return
 	}
 	delete(s.replicas, c.Name)
-	s.viewChanged, s.replicasChanged = true, true
+	s.viewChanged, s.versionsDue = true, true
 	s.log(logline.Info, "server is gone", logline.F("server", c.Name), logline.F("set", old.value.Set), logline.F("revision", c.Revision))
 }
 
@@ -113,7 +113,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
 		if s.replicas[name].expired {
 			delete(s.replicas, name)
-			s.viewChanged, s.replicasChanged = true, true
+			s.viewChanged, s.versionsDue = true, true
 			s.log(logline.Info, "server removed: it did not register again after the store outage", logline.F("server", name))
 		}
 	}
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -114,11 +114,11 @@
 	zonesOut map[string]bool
 	rollouts map[string]*rollout // by object name
 	// versions holds the versions of all servers. openVersions are those that are not accepted.
-	versions        map[version]*versionState
-	openVersions    map[version]bool
-	replicasChanged bool
-	vms             map[string]*knownVM
-	vmOrder         []model.EntryVM // cache of rankedVMs; nil after a change of vms
+	versions     map[version]*versionState
+	openVersions map[version]bool
+	versionsDue  bool // something has changed by which versions are accepted or rejected
+	vms          map[string]*knownVM
+	vmOrder      []model.EntryVM // cache of rankedVMs; nil after a change of vms
 
 	upstreams      map[model.VM]*upstream
 	unreachable    map[model.VM]unreachableVM
--- a/core/directory/reads.go
+++ b/core/directory/reads.go
@@ -81,6 +81,7 @@
 		s.log(logline.Info, "entries may have lapsed while the store was away", logline.F("away", unconfirmed), logline.F("kept_for", s.cfg.ReregistrationGrace))
 	}
 	r.confirmedAt = at
+	s.versionsDue = s.versionsDue || k == KindRollouts && len(s.openVersions) > 0
 }
 
 // maxWatchFailures is the number of consecutive failed reads after which a kind is listed instead
--- a/core/directory/rollouts.go
+++ b/core/directory/rollouts.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -93,7 +94,7 @@
 	old.order = *r
 	old.order.Withheld = withheld && !r.State.Final()
 	old.order.SeenFromOrder = old.seenFromOrder
-	s.viewChanged = true
+	s.viewChanged, s.versionsDue = true, true
 	s.log(logline.Info, "rollout", logline.F("set", r.Set), logline.F("target", r.Target), logline.F("state", r.State.String()),
 		logline.F("revision", c.Revision), logline.F("age", now.Sub(old.orderedAt)), logline.F("pairs", old.evidence.Pairs()))
 }
@@ -129,6 +130,7 @@
 				s.nextEvidenceAt = now // a reader may be about to decide
 			}
 			r.usage.merge(u, now)
+			s.checkEvidence(r, now)
 		}
 	}
 	for _, ev := range report.Evidence {
@@ -145,6 +147,7 @@
 	for _, u := range report.Usage {
 		if r, ok := s.runningRollout(u.Order); ok {
 			r.usage.merge(u, now)
+			s.checkEvidence(r, now)
 		}
 	}
 	for _, ev := range report.Evidence {
@@ -175,8 +178,12 @@
 	}
 }
 
-// checkEvidence withholds the target version if the evidence speaks against it.
+// checkEvidence withholds the target version if the evidence speaks against it, or if it has failed so
+// often that nothing could speak for it.
 func (s *State) checkEvidence(r *rollout, now model.Time) {
+	if failed := r.usage.sum().Failed; failed >= model.MaxTargetFailures {
+		s.withhold(r, fmt.Sprintf("%d attempts have failed", failed), now)
+	}
 	if cause, bad := r.evidence.RollbackReason(); bad {
 		s.withhold(r, cause, now)
 	}
@@ -189,7 +196,7 @@
 		return
 	}
 	r.order.Withheld = true
-	s.viewChanged = true
+	s.viewChanged, s.versionsDue = true, true
 	s.nextStatusAt, s.nextEvidenceAt = now, now
 	s.log(logline.Warn, "target version of a rollout is withheld", logline.F("set", r.order.Set), logline.F("target", r.order.Target),
 		logline.F("age", now.Sub(r.orderedAt)), logline.F("pairs", r.evidence.Pairs()), logline.F("cause", cause))
--- a/core/directory/versions.go
+++ b/core/directory/versions.go
@@ -30,10 +30,10 @@
 // completed rollout, or once the store has confirmed that orderDelay after its first server there was no
 // order for it.
 func (s *State) updateVersions(now model.Time) {
-	if !s.replicasChanged && len(s.openVersions) == 0 {
+	if !s.versionsDue {
 		return
 	}
-	s.replicasChanged = false
+	s.versionsDue = false
 	oldest := s.oldestVersions()
 	s.forgetVersions(oldest)
 	for _, set := range slices.Sorted(maps.Keys(oldest)) {
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -225,8 +225,8 @@
 	CountMissingHedged
 	CountMissingNoBudget
 	CountMissingFailed
-	// CountAtLimit counts the queries refused at once because servers are at the limits that they state.
-	CountAtLimit
+	// CountNoRoom counts the queries refused at once because servers take no more for now.
+	CountNoRoom
 	// CountRests counts the answers with which servers asked for a time without requests.
 	CountRests
 	counters
@@ -237,7 +237,7 @@
 	"refusals.not_run", "refusals.failed", "refusals.timeout", "refusals.no_route", "callers.gone",
 	"attempts", "attempts.hedges", "attempts.retries", "retry_budget.empty",
 	"attempts.answered", "attempts.not_sent", "attempts.not_run", "attempts.misdirected", "attempts.unclear", "attempts.late_replies", "queries.forwarded", "attempts.canary",
-	"missing_shards.waiting", "missing_shards.hedged", "missing_shards.no_budget", "missing_shards.failed", "refusals.at_limit", "servers.rests",
+	"missing_shards.waiting", "missing_shards.hedged", "missing_shards.no_budget", "missing_shards.failed", "refusals.no_room", "servers.rests",
 }
 
 // String returns the name of the counter in the metrics.
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -99,7 +99,11 @@
 	s.loads.reportedAt = now
 	s.countNotices(now)
 	report := ReportLoads{Limited: s.limited > 0}
+	first := s.loads.reported == nil
 	s.loads.previous, s.loads.reported = s.loads.reported, make(map[string]float64)
+	if first {
+		s.loads.previous = s.loads.reported
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.loads.rates)) {
 		perSecond := s.loads.rates[name].perSecond(now)
 		if perSecond == 0 {
--- a/core/dispatch/notice.go
+++ b/core/dispatch/notice.go
@@ -79,7 +79,7 @@
 	}
 	wait := min(max(next.Sub(now), retryAfter), maxRetryAfter)
 	q.retryAfter = wait + time.Duration(s.rng.Float64()*float64(wait))
-	s.count(CountAtLimit)
+	s.count(CountNoRoom)
 	s.refuse(q, CodeNotRun, "the servers take no more requests for now", now)
 	return true
 }
--- a/core/dispatch/rollout.go
+++ b/core/dispatch/rollout.go
@@ -95,11 +95,11 @@
 // has not run since the order has no share of the slack, since an earlier process of the same VM may
 // have used it.
 //
-// Its part of the failures ends the requests even if nothing can be compared, because the other
-// versions fail or do not answer: VMs whose rank is below the fraction of the part have one more.
+// Its part of the failures, one at least, ends the requests even if nothing can be compared, because
+// the other versions fail or do not answer, and the readers' word is late.
 func (s *State) canaryAllowed(c *canary, r *route) bool {
 	sendingVMs := float64(s.sendingVMs(r))
-	if failures := model.MaxTargetFailures/sendingVMs + rank(s.cfg.Self, c.order); c.failed >= math.Floor(failures) {
+	if c.failed >= max(math.Floor(model.MaxTargetFailures/sendingVMs), 1) {
 		return false
 	}
 	limit := canaryShare * s.cfg.Canary.Share * c.requests
--- a/internal/fleetsim/exposure_test.go
+++ b/internal/fleetsim/exposure_test.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// Guards against parts of the allowance that are too small for any request when there are many VMs, so that
+// a good version is not completed, and against a bad version that then gets too much.
+func TestRolloutInALargeFleet(t *testing.T) {
+	for seed := range uint64(3) {
+		for _, bad := range []bool{false, true} {
+			f := newFleet(seed, 120, 200)
+			f.runUntil(orderedAt)
+			badFrom, want := time.Duration(-1), model.RolloutCompleted
+			if bad {
+				badFrom, want = 0, model.RolloutRolledBack
+			}
+			f.startRollout(badFrom)
+			f.runUntil(orderedAt.Add(f.duration + playedAfter))
+			if v := f.seen.violation(); v != "" || f.seen.state != want {
+				t.Errorf("seed %d, bad %t: %s %s", seed, bad, f.seen.state, v)
+			}
+		}
+	}
+}
+
 // Guards against a version that fails from the start and gets more than its share.
 func TestExposureOfBadVersion(t *testing.T) { checkExposure(t, 0, nil) }
 
