--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -38,6 +38,7 @@
 	cmd           *exec.Cmd
 	incarnation   int
 	lastDisturbed time.Time         // last time at which a fault was active
+	lastSignal    time.Time         // last signal to the process, or its start
 	sigterms      map[int]time.Time // first SIGTERM of each incarnation
 	exits         []processExit
 }
@@ -102,6 +103,7 @@
 	d.cmd = cmd
 	d.incarnation++
 	d.lastDisturbed = time.Now()
+	d.lastSignal = d.lastDisturbed
 	return nil
 }
 
@@ -128,6 +130,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastDisturbed = time.Now()
+	d.lastSignal = d.lastDisturbed
 	if _, ok := d.sigterms[d.incarnation]; !ok && sig == syscall.SIGTERM {
 		d.sigterms[d.incarnation] = time.Now()
 	}
@@ -148,6 +151,14 @@
 	return at.Sub(d.lastDisturbed) >= stableWindow
 }
 
+// unsignalled reports whether the process has not been started, paused, woken or stopped in the
+// stableWindow before at. Unlike undisturbed it does not excuse what a fault of the store explains.
+func (d *daemon) unsignalled(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return at.Sub(d.lastSignal) >= stableWindow
+}
+
 func (d *daemon) currentIncarnation() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -66,9 +66,8 @@
 	observations  *observations
 	configVersion int // newest version that was written
 
-	mu              sync.Mutex // guards servers
-	servers         []*server
-	rolloutsStarted int // number of rollouts started so far
+	mu      sync.Mutex // guards servers
+	servers []*server
 }
 
 func newDeployment(seed uint64, vms int, binary, dir string) (*deployment, error) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,7 +78,7 @@
 		return fmt.Sprintf("version %d", dep.configVersion), func() {}
 	}},
 	{"drain", func(dep *deployment) (string, func()) { return dep.drainServer() }},
-	{"rollout", func(dep *deployment) (string, func()) { return dep.startRollout() }},
+	{"rollout", func(dep *deployment) (string, func()) { return dep.startRollout(dep.rng) }},
 }
 
 func valueIf[T any](on bool, value T) T {
--- a/soak/main.go
+++ b/soak/main.go
@@ -114,10 +114,11 @@
 	faultCtx, endFaults := context.WithTimeout(ctx, o.duration)
 	defer endFaults()
 	go dep.printProgress(callCtx)
-	var notices sync.WaitGroup
-	notices.Go(func() { dep.injectNotices(faultCtx, o.seed) })
+	var injectors sync.WaitGroup
+	injectors.Go(func() { dep.injectNotices(faultCtx, o.seed) })
+	injectors.Go(func() { dep.injectRollouts(faultCtx, o.seed) })
 	dep.injectFaults(faultCtx)
-	notices.Wait()
+	injectors.Wait()
 	faultsEnded := time.Now()
 	sleep(ctx, recoveryTime)
 	settled := time.Now()
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/platform/wire"
@@ -24,8 +25,8 @@
 	// restTime is the time without requests for which a server asks, in which it may get maxRestArrivals.
 	restTime        = 2 * time.Second
 	maxRestArrivals = 2
-	minNoticeTime   = 2 * time.Second
-	maxNoticeTime   = 12 * time.Second
+	minNoticeTime   = 5 * time.Second
+	maxNoticeTime   = 15 * time.Second
 )
 
 // notice is something that a server says of itself in its answers while a fault is active.
@@ -107,7 +108,7 @@
 	told := toldProcess{source, d, d.currentIncarnation()}
 	at, ok := obs.notices.toldAt[told]
 	now := time.Now()
-	if !ok || !d.undisturbed(now) {
+	if !ok || !d.unsignalled(now) {
 		return
 	}
 	since := now.Sub(at)
@@ -145,27 +146,41 @@
 	}
 }
 
-// injectNotices makes random servers state random notices, one after the other, until ctx ends. It has
-// random numbers of its own, so that the other faults of a seed stay as they are.
+// injectNotices makes random servers state each kind of notice, one server of a kind after the other, until
+// ctx ends. It has random numbers of its own, so that the other faults of a seed stay as they are.
 func (dep *deployment) injectNotices(ctx context.Context, seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 1))
-	kinds := []notice{noticeLimit, noticeRest, noticeLeaving}
+	var wg sync.WaitGroup
+	for i, kind := range []notice{noticeLimit, noticeRest, noticeLeaving} {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)+1))
+		wg.Go(func() { dep.injectNotice(ctx, kind, rng) })
+	}
+	wg.Wait()
+}
+
+func (dep *deployment) injectNotice(ctx context.Context, kind notice, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		sleep(ctx, minFaultPause+time.Duration(rng.Int64N(int64(maxFaultPause-minFaultPause))))
-		kind, s := kinds[rng.IntN(len(kinds))], dep.pickServer(rng)
+		s := dep.pickServer(rng)
+		if !s.setNotice(kind) {
+			continue
+		}
 		start := time.Now()
-		s.setNotice(kind)
 		sleep(ctx, minNoticeTime+time.Duration(rng.Int64N(int64(maxNoticeTime-minNoticeTime))))
 		dep.endNotice(s, kind)
 		dep.observations.recordFault("notice "+string(kind)+" "+s.ID, start, time.Now())
 	}
 }
 
-func (s *server) setNotice(kind notice) {
+// setNotice makes a server state a notice, unless it states one already.
+func (s *server) setNotice(kind notice) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.notice != "" {
+		return false
+	}
 	s.notice = kind
 	s.noticeNumber++
+	return true
 }
 
 // endNotice ends a server's notice. A server that said that it leaves is then a new start.
--- a/soak/observations.go
+++ b/soak/observations.go
@@ -23,6 +23,7 @@
 	outcomeCounts   map[string][]int          // number of requests by outcome and second
 	notices         noticeRecord
 	rollout         *rollout // current rollout, kept until the servers of the losing version are removed
+	rolloutsStarted int
 	rolloutResults  []string // one line for each finished rollout
 	violations      []string
 	faults          []faultInterval
--- a/soak/rollouts.go
+++ b/soak/rollouts.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/platform/platformtest"
@@ -39,20 +41,36 @@
 // whatever the result.
 func (r *rollout) bounded(now time.Time) bool { return now.Sub(r.startedAt) < rolloutDuration }
 
+// injectRollouts starts rollouts one after the other until ctx ends. It has random numbers of its own, so
+// that the other faults of a seed stay as they are.
+func (dep *deployment) injectRollouts(ctx context.Context, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, rolloutStream))
+	for ctx.Err() == nil {
+		sleep(ctx, maxFaultPause+time.Duration(rng.Int64N(int64(maxFaultPause))))
+		start := time.Now()
+		what, _ := dep.startRollout(rng)
+		dep.observations.recordFault("rollout "+what, start, time.Now())
+		sleep(ctx, rolloutDuration)
+	}
+}
+
+// rolloutStream is the stream of random numbers of injectRollouts.
+const rolloutStream = 10
+
 // startRollout starts servers of the next version and writes the rollout to it. It does nothing while
 // another rollout is in progress.
-func (dep *deployment) startRollout() (string, func()) {
-	if dep.observations.currentRollout() != nil {
-		return "none, another rollout is in progress", func() {}
+func (dep *deployment) startRollout(rng *rand.Rand) (string, func()) {
+	r := &rollout{bad: rng.IntN(2) == 0, startedAt: time.Now()}
+	if rng.IntN(2) == 0 {
+		r.badFrom = time.Duration(rng.Float64() * float64(rolloutDuration))
 	}
-	dep.rolloutsStarted++
-	r := &rollout{version: fmt.Sprintf("v%d", dep.rolloutsStarted+1), bad: dep.rng.IntN(2) == 0, startedAt: time.Now()}
-	if dep.rng.IntN(2) == 0 {
-		r.badFrom = time.Duration(dep.rng.Float64() * float64(rolloutDuration))
+	if !dep.observations.recordRolloutStart(r) {
+		return "none, another rollout is in progress", func() {}
 	}
 	for i := range rolloutServers {
 		s, err := dep.addServer("files", fmt.Sprintf("f-%s-%d", r.version, i), r.version)
 		if err != nil {
+			dep.observations.clearRollout(r)
 			return err.Error(), func() {}
 		}
 		if r.bad {
@@ -63,7 +81,6 @@
 			})
 		}
 	}
-	dep.observations.recordRolloutStart(r)
 	dep.store.Put(wire.KindRollouts, "files", map[string]any{
 		"service": "files", "target_version": r.version, "duration_s": rolloutDuration.Seconds(),
 	})
@@ -128,16 +145,17 @@
 	dep.servers = kept
 }
 
-func (obs *observations) currentRollout() *rollout {
-	obs.mu.Lock()
-	defer obs.mu.Unlock()
-	return obs.rollout
-}
-
-func (obs *observations) recordRolloutStart(r *rollout) {
+// recordRolloutStart records a rollout and names its version, unless another one is in progress.
+func (obs *observations) recordRolloutStart(r *rollout) bool {
 	obs.mu.Lock()
 	defer obs.mu.Unlock()
+	if obs.rollout != nil {
+		return false
+	}
+	obs.rolloutsStarted++
+	r.version = fmt.Sprintf("v%d", obs.rolloutsStarted+1)
 	obs.rollout = r
+	return true
 }
 
 func (obs *observations) clearRollout(r *rollout) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,7 +60,7 @@
 			obs.recordProbe(undisturbedDaemon(), 1, time.Now().Add(time.Second), 1)
 		}},
 		{"EXPOSURE", func(obs *observations) {
-			r := &rollout{version: "v2", bad: true, startedAt: time.Now()}
+			r := &rollout{bad: true, startedAt: time.Now()}
 			obs.recordRolloutStart(r)
 			for i := range 100 {
 				id := fmt.Sprintf("r-%d", i)
@@ -71,7 +71,7 @@
 			obs.checkExposure(r)
 		}},
 		{"EXPOSURE", func(obs *observations) {
-			r := &rollout{version: "v2", bad: true, startedAt: time.Now()}
+			r := &rollout{bad: true, startedAt: time.Now()}
 			obs.recordRolloutStart(r)
 			obs.recordRolloutResult(r, "rolled_back")
 			r.resultAt = time.Now().Add(-2 * rollbackBound)
@@ -79,7 +79,7 @@
 			obs.recordArrival(testServer("f1"), "r-1", time.Time{})
 		}},
 		{"EXPOSURE", func(obs *observations) {
-			r := &rollout{version: "v2", bad: true, startedAt: time.Now()}
+			r := &rollout{bad: true, startedAt: time.Now()}
 			obs.recordRolloutStart(r)
 			for range canarySlack {
 				obs.recordTargetFailure("v2")
