--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -219,6 +219,9 @@
 			dep.observations.recordNotice(source, kind, id)
 			setNotice(kind, rw.Header())
 		}
+		if kind == noticeRest {
+			rw.Header().Set(wire.RequestID, id)
+		}
 		if shed || kind == noticeRest {
 			platformtest.Shed(rw)
 			return
