--- a/review/stand/routekind.go
+++ b/review/stand/routekind.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,7 @@
 	findPause    = 300 * time.Millisecond // of a client between two requests
 	soloService  = "solo"
 	routeRounds  = 4
+	quietTime    = 60 * time.Millisecond // longer than a request takes
 	freezeTime   = 700 * time.Millisecond
 )
 
@@ -37,6 +39,7 @@
 // findLoad are clients that use a route at one daemon, and what they got.
 type findLoad struct {
 	stop    chan struct{}
+	quiet   atomic.Bool // no request is sent
 	clients sync.WaitGroup
 
 	mu                    sync.Mutex
@@ -52,6 +55,9 @@
 			c := &Client{Addr: at.Front}
 			defer c.Close()
 			for n := 0; pause(l.stop, findPause); n++ {
+				if l.quiet.Load() {
+					continue
+				}
 				id := fmt.Sprintf("c%d-%d", i, n)
 				a := c.Do("GET", findPath+"q", id, "", findDeadline)
 				problem := checkFind(a, shards)
@@ -65,6 +71,16 @@
 	return l
 }
 
+// whileQuiet changes something while the clients send nothing. Requests that were sent to a daemon that stands
+// still wait there.
+func (l *findLoad) whileQuiet(change func()) {
+	l.quiet.Store(true)
+	time.Sleep(quietTime)
+	change()
+	time.Sleep(quietTime)
+	l.quiet.Store(false)
+}
+
 func (l *findLoad) count(a Answer, problem string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -108,7 +124,7 @@
 		}
 		time.Sleep(freezeTime / 2)
 		version += 3
-		d.Configure(version, services, rest)
+		load.whileQuiet(func() { d.Configure(version, services, rest) })
 		time.Sleep(freezeTime / 2)
 		if trouble {
 			small.Signal(syscall.SIGCONT)
@@ -116,7 +132,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		version += 3
-		d.Configure(version, services, gathered, rest)
+		load.whileQuiet(func() { d.Configure(version, services, gathered, rest) })
 		time.Sleep(2 * time.Second)
 	}
 	close(load.stop)
--- a/review/stand/searcher.go
+++ b/review/stand/searcher.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -45,7 +46,7 @@
 type Searcher struct {
 	ID      string
 	Service string
-	Work    time.Duration
+	Work    time.Duration // mean time
 	Slots   int
 
 	store  *Store
@@ -65,7 +66,8 @@
 	coldUntil time.Time
 	crashRate int // requests in a second at which the searcher crashes while it is cold; 0 if it does not
 	crashed   bool
-	health    int // health checks answered
+	limit     float64 // Server-Limit of its answers; 0 for none
+	health    int     // health checks answered
 }
 
 // NewSearcher starts a searcher at a free port of ip and registers it.
@@ -136,6 +138,21 @@
 // warmupLeft returns how much longer the searcher stays cold. The caller holds s.mu.
 func (s *Searcher) warmupLeft() time.Duration { return max(time.Until(s.coldUntil), 0) }
 
+// SetSlots sets how many requests the searcher runs at the same time.
+func (s *Searcher) SetSlots(n int) {
+	s.mu.Lock()
+	s.Slots, s.slots = n, make(chan struct{}, n)
+	s.mu.Unlock()
+	s.register()
+}
+
+// SetLimit makes the searcher name a limit, in requests a second, in all its answers.
+func (s *Searcher) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
 // BecomeCold makes the searcher cold for a time and writes that to the store. While it is cold, it crashes at
 // crashRate requests in a second.
 func (s *Searcher) BecomeCold(d time.Duration, crashRate int) {
@@ -182,6 +199,12 @@
 		return // the caller has left before its request was complete
 	}
 	w.Header().Set("X-Instance-Id", s.ID)
+	s.mu.Lock()
+	if s.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(s.limit, 'f', -1, 64))
+	}
+	slots := s.slots
+	s.mu.Unlock()
 	if r.URL.Path == healthPath {
 		s.answerHealth(w)
 		return
@@ -207,9 +230,9 @@
 		s.reject(w, http.StatusServiceUnavailable)
 		return
 	}
-	s.slots <- struct{}{}
+	slots <- struct{}{}
 	<-s.queue
-	defer func() { <-s.slots }()
+	defer func() { <-slots }()
 	s.run(w, r, id)
 }
 
@@ -234,17 +257,18 @@
 
 // run works on a request until its deadline and answers it.
 func (s *Searcher) run(w http.ResponseWriter, r *http.Request, id string) {
+	work := s.Work/2 + rand.N(s.Work)
 	left := time.Hour
 	if ms, err := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64); err == nil {
 		left = time.Duration(ms) * time.Millisecond
 	}
 	select {
-	case <-time.After(min(s.Work, left)):
+	case <-time.After(min(work, left)):
 	case <-r.Context().Done():
 		return
 	}
 	w.Header().Set("X-Server-Stamp", Stamp(s.Service, s.ID, id))
-	if left < s.Work {
+	if left < work {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
