--- a/review/stand/searcher.go
+++ b/review/stand/searcher.go
@@ -66,6 +66,8 @@
 	coldUntil time.Time
 	crashRate int // requests in a second at which the searcher crashes while it is cold; 0 if it does not
 	crashed   bool
+	version   string
+	bad       bool    // each request fails
 	limit     float64 // Server-Limit of its answers; 0 for none
 	health    int     // health checks answered
 }
@@ -78,7 +80,7 @@
 	}
 	s := &Searcher{
 		ID: id, Service: service, Work: work, Slots: defaultSlots,
-		store: store, addr: lis.Addr().String(), born: time.Now(), state: stateReady, done: make(chan struct{}),
+		store: store, addr: lis.Addr().String(), born: time.Now(), state: stateReady, version: firstVersion, done: make(chan struct{}),
 		slots: make(chan struct{}, defaultSlots), queue: make(chan struct{}, queueRoom),
 	}
 	s.server = &http.Server{Handler: s}
@@ -127,7 +129,7 @@
 	s.mu.Lock()
 	s.sequence++
 	spec := map[string]any{
-		"service": s.Service, "address": s.addr, "zone": searcherZone, "version": firstVersion,
+		"service": s.Service, "address": s.addr, "zone": searcherZone, "version": s.version,
 		"concurrency": s.Slots, "state": s.state, "warmup_left_ms": s.warmupLeft().Milliseconds(),
 		"sequence": s.sequence, "born": s.born.UnixMilli(),
 	}
@@ -153,6 +155,21 @@
 	s.limit = perSecond
 }
 
+// SetVersion sets the version of the searcher.
+func (s *Searcher) SetVersion(version string) {
+	s.mu.Lock()
+	s.version = version
+	s.mu.Unlock()
+	s.register()
+}
+
+// SetBad makes all further requests fail.
+func (s *Searcher) SetBad() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bad = true
+}
+
 // BecomeCold makes the searcher cold for a time and writes that to the store. While it is cold, it crashes at
 // crashRate requests in a second.
 func (s *Searcher) BecomeCold(d time.Duration, crashRate int) {
@@ -272,6 +289,13 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
+	s.mu.Lock()
+	bad := s.bad
+	s.mu.Unlock()
+	if bad {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	_, _ = w.Write(Part(s.Service, id)) // an error means that the caller has left
 }
 
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -112,6 +112,14 @@
 	return time.Now()
 }
 
+// Status returns the status of an object, or nil.
+func (s *Store) Status(kind, name string) map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status, _ := s.objects[kind][name].Status.(map[string]any)
+	return status
+}
+
 // Names returns the names of the objects of a kind.
 func (s *Store) Names(kind string) []string {
 	s.mu.Lock()
