--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the cases 6 to 10 start. It runs after the build of the deploy file.
+# Builds the stand-ins that the scripts of the cases 6 to 9 start, after the build of the deploy file. They use
+# the standard library only.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/stand2
+cd "$(dirname "$0")/stand2"
+mkdir -p ../../target/review-2
+GOFLAGS= GOTOOLCHAIN=local go build -buildvcs=false -o ../../target/review-2/stand2 .
