--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +22,7 @@
 	record *record
 	folder string
 	store  *store
+	ports  ports
 	vms    []*vm
 }
 
@@ -33,13 +35,29 @@
 }
 
 const (
-	frontPort, readyPort, controlPort = 8104, 8108, 8106
-	firstPeerPort, lastPeerPort       = 7380, 7395
-	heartbeatMS                       = 1200
-	zones                             = 3
+	heartbeatMS = 1200
+	zones       = 3
 )
 
-func (v *vm) front() string { return fmt.Sprintf("%s:%d", v.ip, frontPort) }
+// ports are the ports of all VMs, each on an address of its own.
+type ports struct{ front, ready, control, peer int }
+
+// at returns the address of a port of the VM.
+func (v *vm) at(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
+
+// freePorts returns ports that are free at an address.
+func freePorts(ip string) (ports, error) {
+	var free [4]int
+	for i := range free {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return ports{}, err
+		}
+		defer func() { _ = listener.Close() }()
+		free[i] = listener.Addr().(*net.TCPAddr).Port
+	}
+	return ports{free[0], free[1], free[2], free[3]}, nil
+}
 
 func zoneOf(i int) string { return "zone-" + string(rune('a'+i%zones)) }
 
@@ -69,6 +87,9 @@
 	}
 	// An address block of its own keeps runs on the same machine apart.
 	block := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250))
+	if f.ports, err = freePorts(block + "10"); err != nil {
+		return f, err
+	}
 	for i, share := range cores {
 		v := &vm{name: fmt.Sprintf("front-%s-%d", zoneOf(i), i/zones+1), ip: fmt.Sprintf("%s%d", block, 10+i)}
 		if v.proxy, err = newProxy(f.store.address()); err != nil {
@@ -94,9 +115,9 @@
 		"node": v.name, "role": "entry", "machine_class": "front", "serves": []string{"front"}, "ip": v.ip, "zone": zone,
 		"region": "region", "zones": regions,
 		"listen_addrs": map[string]string{
-			"front": v.front(), "ready": fmt.Sprintf("%s:%d", v.ip, readyPort), "control": fmt.Sprintf("%s:%d", v.ip, controlPort),
+			"front": v.at(f.ports.front), "ready": v.at(f.ports.ready), "control": v.at(f.ports.control),
 		},
-		"internal_port_range": []int{firstPeerPort, lastPeerPort}, "seeds": []string{}, "bootstrap": true, "fault_counted": false,
+		"internal_port_range": []int{f.ports.peer, f.ports.peer}, "seeds": []string{}, "bootstrap": true, "fault_counted": false,
 		"limits":   map[string]any{"cpu_share": cores, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": heartbeatMS,
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "scatter", "places", "rollout", "platform"},
@@ -143,7 +164,7 @@
 	end := time.Now().Add(readyTimeout)
 	for _, v := range f.vms {
 		for {
-			resp, err := client.Get(fmt.Sprintf("http://%s:%d/api/readyz", v.ip, readyPort))
+			resp, err := client.Get("http://" + v.at(f.ports.ready) + "/api/readyz")
 			if err == nil {
 				_ = resp.Body.Close()
 				if resp.StatusCode == http.StatusOK {
@@ -244,7 +265,7 @@
 	q := &request{id: fmt.Sprintf("%016x", n), path: path, vm: c.fleet.vms[i], sent: time.Now()}
 	c.requests[q.id] = q
 	c.mu.Unlock()
-	r, err := http.NewRequest(http.MethodGet, "http://"+q.vm.front()+path, nil)
+	r, err := http.NewRequest(http.MethodGet, "http://"+q.vm.at(c.fleet.ports.front)+path, nil)
 	if err != nil {
 		return
 	}
