--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -228,11 +228,15 @@
 	status   int // 0 if the connection ended without an answer
 }
 
+// callers are all callers.
+var callers []*caller
+
 func newCaller(f *fleet, host string) *caller {
 	c := &caller{fleet: f, host: host, requests: make(map[string]*request), lost: make(map[*vm]bool)}
 	for range f.vms {
 		c.clients = append(c.clients, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}})
 	}
+	callers = append(callers, c)
 	return c
 }
 
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -5,9 +5,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"time"
 )
 
@@ -35,6 +37,7 @@
 		os.Exit(2)
 	}
 	broken, err := scenes[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
+	r.writeTraffic()
 	switch {
 	case err != nil:
 		r.write("the case could not run: %v", err)
@@ -74,4 +77,21 @@
 // detail writes a line to the file only.
 func (r *record) detail(format string, args ...any) { _, _ = fmt.Fprintf(r.file, format+"\n", args...) }
 
+// writeTraffic writes all requests with their answers, and all runs, to the file.
+func (r *record) writeTraffic() {
+	for _, c := range callers {
+		c.mu.Lock()
+		for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+			q := c.requests[id]
+			r.detail("request %s for %s: sent to %s at %.3f, answered %d at %.3f", q.id, q.path, q.vm.name, r.at(q.sent), q.status, r.at(q.ended))
+		}
+		c.mu.Unlock()
+	}
+	for _, s := range searchers {
+		for _, q := range s.runsOf() {
+			r.detail("run of request %s at %s (%s, %s) from %.3f, failed: %v", q.request, s.id, s.service, s.version, r.at(q.at), q.failed)
+		}
+	}
+}
+
 func (r *record) close() { _ = r.file.Close() }
--- a/review/stand2/searcher.go
+++ b/review/stand2/searcher.go
@@ -46,6 +46,9 @@
 // recordBytes is the size of a record in the answer of a shard.
 const recordBytes = 16
 
+// searchers are all searchers that were started.
+var searchers []*searcher
+
 func startSearcher(s *searcher) (*searcher, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -55,6 +58,7 @@
 	s.slot = make(chan struct{}, s.slots)
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }() // ends with stop
+	searchers = append(searchers, s)
 	return s, nil
 }
 
