--- a/tools/test.sh
+++ b/tools/test.sh
@@ -15,12 +15,15 @@
 go build ./...
 # Skip and print exactly the tests that KNOWN-RED.txt lists as failing because of a known fault.
 skip=$(sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+flags=(-count=1)
 if [ -n "$skip" ]; then
   printf 'known to fail, not run:\n'
   cat KNOWN-RED.txt
-  go test -count=1 -skip "$skip" ./...
-else
-  go test -count=1 ./...
+  flags+=(-skip "$skip")
 fi
+# The tests with hostile callers measure the memory of a process and run apart from all others.
+mapfile -t packages < <(go list ./... | grep -v '/e2e/hostile$')
+go test "${flags[@]}" "${packages[@]}"
+go test "${flags[@]}" ./e2e/hostile
 go test -count=1 -short -race ./core/... ./entry/... ./platform/... ./peer/relay/...
 go run ./cmd/gooseberrylock replay testdata/traces
