Bound the memory of requests that callers have not finished

Seen by callers: none got an answer any more once the process had run out of memory. 600 requests with bodies of 256 KiB, of which three quarters stopped a byte before their end, took 137 to 214 MB on a VM of 96 MB.

Cause: each body was read into a buffer that doubles, nothing bounded the sum, and a body had no timeout, so that what a caller left unfinished was held for as long as it kept its connection.

Change: core/intake (pure, no clock) counts what the connections of callers hold. When the sum passes an eighth of the VM's memory, it refuses the requests with the largest product of bytes and time held: 503 with Retry-After, which is true since nothing of an unfinished request has been sent. Requests that are received whole are never given up; a request that alone holds memory is served whatever its size. internal/ingress wraps the listener: it counts heads and bodies, reads bodies in recycled chunks, and ends a body with 408 at the caller's deadline or the timeout of its route, when nobody waits for the answer any more (30 s if neither is known). The time that a body took is taken off the deadline that servers get. The kernel holds 32 KiB of unread input for a connection at most: with its default, 600 connections held up to 50 MB.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -244,6 +244,18 @@
 	return cfg.Limits, true
 }
 
+// RouteTimeout returns the timeout of the route that serves a host and path, or 0 if there is none.
+func (t *Tier) RouteTimeout(host, path string) time.Duration {
+	cfg := t.view.Load().Config
+	if cfg == nil {
+		return 0
+	}
+	if r := cfg.FindRoute(host, path); r != nil {
+		return r.Timeout
+	}
+	return 0
+}
+
 // Version returns the version of the configuration in force, or 0 if none has been read.
 func (t *Tier) Version() uint64 {
 	if cfg := t.view.Load().Config; cfg != nil {
--- /dev/null
+++ b/internal/ingress/body.go
@@ -0,0 +1,129 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gooseberrylock/gooseberrylock/core/intake"
+)
+
+// chunkBytes is the unit in which the memory of a body is taken.
+const chunkBytes = 8 << 10
+
+// The errors of ReadBody. Another error means that the body is not valid or the caller has left.
+var (
+	// ErrBodyTooLarge means that the body exceeds its limit.
+	ErrBodyTooLarge = errors.New("the body is too large")
+	// ErrBodyTimeout means that the body was not complete in time.
+	ErrBodyTimeout = errors.New("the body was not received in time")
+	// ErrOverloaded means that the memory for requests is used up. The request has not run; it can be
+	// answered with Overloaded.
+	ErrOverloaded = errors.New("too many unfinished requests")
+)
+
+// chunks recycles the chunks of unfinished bodies, since bodies that are refused would otherwise produce
+// garbage faster than it is collected.
+var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
+// ReadBody reads the body of a request of at most maxBytes bytes within a timeout. After an error, the
+// connection is closed after the answer.
+func ReadBody(r *http.Request, maxBytes int64, timeout time.Duration) ([]byte, error) {
+	c := connOf(r)
+	if c == nil {
+		return nil, errors.New("the request was not received through a guard")
+	}
+	body, err := c.readBody(r, maxBytes, timeout)
+	if err == nil && c.received() != nil {
+		err = ErrOverloaded
+	}
+	if err != nil {
+		c.stopReading(err)
+		return nil, err
+	}
+	return body, nil
+}
+
+func (c *conn) readBody(r *http.Request, maxBytes int64, timeout time.Duration) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > maxBytes {
+		return nil, ErrBodyTooLarge
+	}
+	c.timer.Stop()
+	expired := time.AfterFunc(timeout, func() { c.stopReading(errTimeout) })
+	defer expired.Stop()
+	body, err := c.collectBody(r.Body, r.ContentLength, maxBytes)
+	switch {
+	case errors.Is(err, errTimeout):
+		return nil, ErrBodyTimeout
+	case errors.Is(err, intake.ErrTooManyBytes):
+		return nil, ErrOverloaded
+	}
+	return body, err
+}
+
+// collectBody reads a body. length is -1 if it is not stated.
+func (c *conn) collectBody(in io.Reader, length, maxBytes int64) ([]byte, error) {
+	if length >= 0 && length <= chunkBytes {
+		return c.collectShort(in, length)
+	}
+	var full []*[chunkBytes]byte
+	defer func() {
+		for _, b := range full {
+			chunks.Put(b)
+		}
+	}()
+	last := 0 // bytes of the last chunk
+	for {
+		if len(full) == 0 || last == chunkBytes {
+			if err := c.slot.Grow(chunkBytes, c.guard.now()); err != nil {
+				return nil, err
+			}
+			full = append(full, chunks.Get().(*[chunkBytes]byte))
+			last = 0
+		}
+		n, err := in.Read(full[len(full)-1][last:])
+		last += n
+		size := (len(full)-1)*chunkBytes + last
+		if int64(size) > maxBytes {
+			return nil, ErrBodyTooLarge
+		}
+		if err == io.EOF {
+			return join(full, size), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// collectShort reads a body of a stated length that fits into one chunk.
+func (c *conn) collectShort(in io.Reader, length int64) ([]byte, error) {
+	if err := c.slot.Grow(length, c.guard.now()); err != nil {
+		return nil, err
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(in, body)
+	return body, err
+}
+
+// join returns a copy of the first size bytes of the chunks.
+func join(full []*[chunkBytes]byte, size int) []byte {
+	body := make([]byte, 0, size)
+	for _, b := range full {
+		body = append(body, b[:min(chunkBytes, size-len(body))]...)
+	}
+	return body
+}
+
+// BeginAnswer must be called before an answer with a body of n bytes is written. The body's memory counts until
+// the caller has taken it.
+func BeginAnswer(r *http.Request, n int) {
+	if c := connOf(r); c != nil {
+		c.answerBegins(n)
+	}
+}
--- a/model/entry.go
+++ b/model/entry.go
@@ -80,6 +80,18 @@
 	Limits   EntryLimits
 }
 
+// FindRoute returns the matching route with the longest path prefix, or nil.
+func (c *EntryConfig) FindRoute(host, path string) *EntryRoute {
+	var best *EntryRoute
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Matches(host, path) && (best == nil || len(r.PathPrefix) > len(best.PathPrefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
 // Replica is the registration that a backend server writes to the store.
 type Replica struct {
 	ID         BackendServerID
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs all checks of the project: gofmt, go vet, staticcheck, the build and all tests. Then runs the
-# short tests of core, entry, platform and peer/relay under the race detector, and replays the
+# short tests of core, entry, platform, peer/relay and internal/ingress under the race detector, and replays the
 # recorded traces.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -25,5 +25,5 @@
 mapfile -t packages < <(go list ./... | grep -v '/e2e/hostile$')
 go test "${flags[@]}" "${packages[@]}"
 go test "${flags[@]}" ./e2e/hostile
-go test -count=1 -short -race ./core/... ./entry/... ./platform/... ./peer/relay/...
+go test -count=1 -short -race ./core/... ./entry/... ./platform/... ./peer/relay/... ./internal/ingress
 go run ./cmd/gooseberrylock replay testdata/traces
