Free the header of a refused request at once

Cause: net/http keeps a refused connection for 0.5 s, so that the caller can read the answer, and the request with its header as long. The header of 16 KiB in short lines takes over 400 KiB, and a crowd is refused all at once.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -96,18 +96,32 @@
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
-	inner := srv.Handler
-	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := connOf(r); c != nil && c.headReceived(r.ContentLength != 0) != nil {
-			Overloaded(w)
-			return
-		}
-		inner.ServeHTTP(w, r)
-	})
+	srv.Handler = guardedHandler{srv.Handler}
 	boundReceiveBuffers(lis)
 	return srv.Serve(listener{Listener: lis, guard: g})
 }
 
+// guardedHandler calls a handler for the requests that have not been refused.
+type guardedHandler struct{ inner http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (h guardedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := connOf(r)
+	if c == nil {
+		h.inner.ServeHTTP(w, r)
+		return
+	}
+	if c.headReceived(r.ContentLength != 0) != nil {
+		Overloaded(w)
+	} else {
+		h.inner.ServeHTTP(w, r)
+	}
+	if c.refusal() != nil {
+		// net/http keeps the request while it waits for the caller to read the refusal.
+		r.Header = nil
+	}
+}
+
 // receiveBufferBytes bounds what the kernel holds of one connection's unread input.
 const receiveBufferBytes = 32 << 10
 
