Keep large requests of callers from shutting out small ones

Cause: requests that run are not given up, so bodies of legal size at a slow server could hold all memory for requests until their deadlines, and a request of a few hundred bytes was refused meanwhile.

TestSmallRequestsAreNotShutOut fails on the code before, which does not have the setting (shown by reading: Grow returned ErrTooManyBytes for every byte).

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -14,14 +14,18 @@
 
 // Config holds the limits of a Table.
 type Config struct {
-	MaxConns int   // open connections
-	MaxBytes int64 // memory of the requests and answers of all connections together
+	MaxConns int // open connections
+	// ConnBytes is the memory that each connection may use for its request and answer, whatever the others
+	// use. It keeps large requests from shutting small ones out.
+	ConnBytes int64
+	// MaxBytes is the memory that all connections together may use beyond ConnBytes.
+	MaxBytes int64
 }
 
 // Validate returns an error for the first setting that is out of range.
 func (c Config) Validate() error {
-	if c.MaxConns <= 0 || c.MaxBytes <= 0 {
-		return errors.New("intake: MaxConns and MaxBytes must be positive")
+	if c.MaxConns <= 0 || c.MaxBytes <= 0 || c.ConnBytes < 0 {
+		return errors.New("intake: MaxConns and MaxBytes must be positive, ConnBytes not negative")
 	}
 	return nil
 }
@@ -48,7 +52,7 @@
 	cfg Config
 
 	mu     sync.Mutex
-	used   int64 // bytes
+	shared int64 // bytes of all connections beyond Config.ConnBytes
 	conns  map[*Conn]struct{}
 	opened uint64
 }
@@ -68,11 +72,22 @@
 	Abort()
 }
 
-// Used returns the memory in bytes that all connections hold together.
-func (t *Table) Used() int64 {
+// Usage is what the connections of a table hold.
+type Usage struct {
+	Conns  int   // open connections
+	Bytes  int64 // memory of requests and answers
+	Shared int64 // the part of Bytes that counts towards Config.MaxBytes
+}
+
+// Usage returns what the connections hold now.
+func (t *Table) Usage() Usage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.used
+	u := Usage{Conns: len(t.conns), Shared: t.shared}
+	for c := range t.conns {
+		u.Bytes += c.bytes
+	}
+	return u
 }
 
 // Conn is an open connection.
@@ -183,7 +198,7 @@
 	}
 	c.add(n)
 	victims = t.makeRoom(c, now)
-	if t.used > t.cfg.MaxBytes && t.used > c.bytes {
+	if t.shared > t.cfg.MaxBytes && t.shared > c.shared() {
 		c.add(-n)
 		return victims, ErrTooManyBytes
 	}
@@ -215,7 +230,7 @@
 // makeRoom takes the memory of other connections than c until the sum is within the limit or it is c's turn.
 // It returns the connections that have to be refused.
 func (t *Table) makeRoom(c *Conn, now model.Time) (victims []*Conn) {
-	for t.used > t.cfg.MaxBytes {
+	for t.shared > t.cfg.MaxBytes {
 		victim := t.largestHolder(now)
 		if victim == nil || victim == c {
 			return victims
@@ -228,15 +243,15 @@
 }
 
 // largestHolder returns the connection to refuse for its memory, or nil: the one with the largest product of
-// its bytes and the time for which it has received or answered.
+// its shared bytes and the time for which it has received or answered.
 func (t *Table) largestHolder(now model.Time) *Conn {
 	var best *Conn
 	most := 0.0
 	for c := range t.conns {
-		if c.bytes == 0 || c.phase != Receiving && c.phase != Answering {
+		if c.shared() == 0 || c.phase != Receiving && c.phase != Answering {
 			continue
 		}
-		held := float64(c.bytes) * (now.Sub(c.since) + time.Microsecond).Seconds()
+		held := float64(c.shared()) * (now.Sub(c.since) + time.Microsecond).Seconds()
 		if best == nil || held > most || held == most && c.number < best.number {
 			best, most = c, held
 		}
@@ -246,10 +261,14 @@
 
 // add adds n bytes to what the connection holds. The caller holds the table's lock.
 func (c *Conn) add(n int64) {
+	c.table.shared -= c.shared()
 	c.bytes += n
-	c.table.used += n
+	c.table.shared += c.shared()
 }
 
+// shared returns the part of the connection's bytes that counts towards Config.MaxBytes.
+func (c *Conn) shared() int64 { return max(c.bytes-c.table.cfg.ConnBytes, 0) }
+
 // remove takes a connection out of the table. The caller holds t.mu.
 func (t *Table) remove(c *Conn) {
 	if c.removed {
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -70,7 +70,7 @@
 			}
 			f.open("new", 10)
 			f.is.Equal(f.rec.aborted, tt.aborted)
-			f.is.Equal(len(f.table.conns), 3)
+			f.is.Equal(f.table.Usage().Conns, 3)
 		})
 	}
 }
@@ -100,7 +100,7 @@
 	f.is.Equal(f.rec.refused, "large and old,")
 	f.is.NoErr(ordinary.Grow(600, at(10)))
 	f.is.Equal(f.rec.refused, "large and old,large and younger,")
-	f.is.Equal(f.table.used, int64(900))
+	f.is.Equal(f.table.Usage().Bytes, int64(900))
 	f.is.Equal(f.rec.aborted, "")
 }
 
@@ -116,7 +116,24 @@
 	running.Close()
 	f.is.NoErr(late.Grow(900, at(2)))
 	f.is.Equal(f.rec.refused, "")
-	f.is.Equal(f.table.used, int64(1000))
+	f.is.Equal(f.table.Usage().Bytes, int64(1000))
+}
+
+// Guards against small requests that are refused while large ones, which run or are about to, use all memory.
+func TestSmallRequestsAreNotShutOut(t *testing.T) {
+	f := newFixture(t, Config{MaxConns: 10, ConnBytes: 100, MaxBytes: 1000})
+	running := f.receive("running,", 0, 1100)
+	f.is.NoErr(running.Enter(Running, at(0)))
+	for i := range 8 {
+		f.receive("small,", 1+i, 100)
+	}
+	f.is.Equal(f.rec.refused, "")
+	large := f.open("large,", 10)
+	f.is.NoErr(large.Enter(Receiving, at(10)))
+	f.is.Equal(large.Grow(101, at(10)), ErrTooManyBytes)
+	f.is.NoErr(large.Grow(100, at(10)))
+	f.is.Equal(f.rec.refused, "")
+	f.is.Equal(f.table.Usage(), Usage{Conns: 10, Bytes: 2000, Shared: 1000})
 }
 
 // Guards against a request that has been refused and is sent to a server all the same.
@@ -127,9 +144,9 @@
 	f.is.Equal(f.rec.refused, "first")
 	f.is.Equal(first.Enter(Running, at(5)), ErrTooManyBytes)
 	f.is.Equal(first.Grow(1, at(5)), ErrTooManyBytes)
-	f.is.Equal(f.table.used, int64(200))
+	f.is.Equal(f.table.Usage().Bytes, int64(200))
 	first.Close()
-	f.is.Equal(f.table.used, int64(200)) // its bytes are counted out once
+	f.is.Equal(f.table.Usage().Bytes, int64(200)) // its bytes are counted out once
 }
 
 // Guards against a large request in calm that is refused, and against an answer that is not delivered for lack of memory.
@@ -144,7 +161,7 @@
 	next.Hold(500, at(2))
 	f.is.Equal(f.rec.refused, "alone,")
 	f.is.NoErr(next.Enter(Idle, at(3)))
-	f.is.Equal(f.table.used, int64(0))
+	f.is.Equal(f.table.Usage().Bytes, int64(0))
 }
 
 func TestValidate(t *testing.T) {
@@ -152,4 +169,5 @@
 	is.NoErr(Config{MaxConns: 1, MaxBytes: 1}.Validate())
 	is.True(Config{MaxConns: 1}.Validate() != nil)
 	is.True(Config{MaxBytes: 1}.Validate() != nil)
+	is.True(Config{MaxConns: 1, MaxBytes: 1, ConnBytes: -1}.Validate() != nil)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -225,7 +225,7 @@
 // holds waits until the requests hold at least n bytes.
 func (s *server) holds(n int64) bool {
 	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if s.guard.table.Used() >= n {
+		if s.guard.table.Usage().Bytes >= n {
 			return true
 		}
 	}
@@ -255,10 +255,10 @@
 				is.True(s.holds(1))
 			}
 			_ = c.Close()
-			for deadline := time.Now().Add(waitTimeout); s.guard.table.Used() > 0 && time.Now().Before(deadline); {
+			for deadline := time.Now().Add(waitTimeout); s.guard.table.Usage().Bytes > 0 && time.Now().Before(deadline); {
 				time.Sleep(time.Millisecond)
 			}
-			is.Equal(s.guard.table.Used(), int64(0))
+			is.Equal(s.guard.table.Usage().Bytes, int64(0))
 		})
 	}
 }
