--- a/e2e/hostile/hostile_test.go
+++ b/e2e/hostile/hostile_test.go
@@ -58,6 +58,7 @@
 	{name: "empty lines without end after a request", size: 300, limits: littleMemory, send: sendAfterRequest("\r\n", endlessBytes)},
 	{name: "short header lines within the limit, then a body", size: 600, limits: littleMemory, send: sendLinesAndBody},
 	{name: "whole bodies", size: 600, limits: littleMemory, send: sendBody(maxBodyBytes)},
+	{name: "whole bodies at a silent server", size: 600, limits: littleMemory, send: sendToSilentServer},
 	{name: "bodies in pieces", size: 600, limits: littleMemory, send: sendBody(4 << 10)},
 	{name: "large chunks", size: 600, limits: littleMemory, send: sendChunks(64 << 10)},
 	{name: "chunks of one byte", size: 600, limits: littleMemory, send: sendChunks(1)},
@@ -276,6 +277,15 @@
 	}
 }
 
+// sendToSilentServer sends a whole request that the backend server does not answer.
+func sendToSilentServer(conn net.Conn, n int) error {
+	head := strings.Replace(requestHead(n), unsafePath, silentPath, 1)
+	if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", head, maxBodyBytes); err != nil {
+		return err
+	}
+	return writePieces(conn, maxBodyBytes, maxBodyBytes)
+}
+
 func writePieces(w io.Writer, total, piece int) error {
 	data := make([]byte, piece)
 	for sent := 0; sent < total; sent += piece {
--- a/e2e/hostile/vm_test.go
+++ b/e2e/hostile/vm_test.go
@@ -33,6 +33,9 @@
 	// idempotent requests.
 	unsafePath = "/w/q"
 	safePath   = "/r/q"
+	// silentPath is a path of the route with requests that are not idempotent at which the backend server does
+	// not answer.
+	silentPath = "/w/silent"
 	// longPath is a path of the route with idempotent requests at which the backend server sends an answer of
 	// longAnswerBytes.
 	longPath        = "/r/long"
@@ -103,11 +106,14 @@
 	}
 	t.Cleanup(func() { _ = server.Close() })
 	server.Script(func(w http.ResponseWriter, r *http.Request) {
-		body := platformtest.Record
-		if r.URL.Path == longPath {
-			body = strings.Repeat("x", longAnswerBytes)
+		switch r.URL.Path {
+		case silentPath:
+			<-r.Context().Done()
+		case longPath:
+			platformtest.Answer(w, r, "stamp-i-0", strings.Repeat("x", longAnswerBytes))
+		default:
+			platformtest.Answer(w, r, "stamp-i-0", platformtest.Record)
 		}
-		platformtest.Answer(w, r, "stamp-i-0", body)
 	})
 	store.Put(wire.KindReplicas, "i-0", platformtest.ServerSpec("files", server.Address(), wire.StateReady))
 	spec := platformtest.ConfigSpec(1,
