Bound what callers and operators of the program's own interface may hold

Seen by callers: as on the platform, none were answered once the daemon had run out of memory or descriptors. 100 callers that sent a body without end took 593 MB (4 MiB each), the generated handlers read a body of any size; 200 heads without end 451 MB; 700 unused connections all 600 descriptors. So at the operators' address.

Change: both addresses are served by internal/ingress. The settings have a section "limits" with defaults that no caller of this interface meets: 4,096 connections, 64 MiB for requests, 64 KiB a head, 4 MiB a body (the longest query is 64 Ki characters). A body is received whole before the generated handler runs, after the token was checked.

--- a/caller.go
+++ b/caller.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	api "github.com/gooseberrylock/gooseberrylock/api/caller"
+	"github.com/gooseberrylock/gooseberrylock/internal/ingress"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -17,9 +18,8 @@
 	// busyRetryAfter is the retry-after time in a refusal because the daemon already runs the
 	// maximum number of requests.
 	busyRetryAfter = 100 * time.Millisecond
-	// readHeaderTimeout is the time within which a client must send the headers of a request.
-	// Connections that send nothing are closed.
-	readHeaderTimeout = 10 * time.Second
+	// headerTimeout is the time within which a client must send the headers of a request, from their first byte.
+	headerTimeout = 10 * time.Second
 )
 
 // callerServer returns the HTTP server for requests of callers, /healthz and /readyz.
@@ -36,7 +36,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: ingress.LimitBodies(d.cfg.Settings.Limits.MaxBody, mux)}
 }
 
 // Ready reports whether the daemon has at least one template and has not started to leave. A daemon
--- a/e2e/hostile/hostile_test.go
+++ b/e2e/hostile/hostile_test.go
@@ -77,7 +77,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			v := startVM(t, daemon, c.limits)
-			callers := c.connect(v)
+			callers := c.connect(t, v.caller)
 			v.waitFor("an ordinary request is answered while the crowd stays", func() bool {
 				return !v.lives() || v.ordinaryRequest(http.MethodGet, safePath, "during", nil) == http.StatusOK
 			})
@@ -106,8 +106,8 @@
 }
 
 // connect connects all callers and returns when each has sent what it sends or has been cut off.
-func (c crowd) connect(v *vm) *callers {
-	v.t.Helper()
+func (c crowd) connect(t *testing.T, address string) *callers {
+	t.Helper()
 	all := &callers{status: make(map[int]int)}
 	dialer := net.Dialer{}
 	if c.deaf {
@@ -115,7 +115,7 @@
 	}
 	var sending sync.WaitGroup
 	for n := range c.size {
-		conn, err := dialer.Dial("tcp", v.caller)
+		conn, err := dialer.Dial("tcp", address)
 		if err != nil {
 			continue // the daemon is out of descriptors, or has ended
 		}
--- a/operator.go
+++ b/operator.go
@@ -14,6 +14,7 @@
 	"github.com/gooseberrylock/gooseberrylock/core"
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
 	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/internal/ingress"
 	"github.com/gooseberrylock/gooseberrylock/internal/strictjson"
 	"github.com/gooseberrylock/gooseberrylock/model"
 	"github.com/gooseberrylock/gooseberrylock/template"
@@ -31,7 +32,7 @@
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
-	return &http.Server{Handler: d.requireToken(mux), ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: d.requireToken(ingress.LimitBodies(d.cfg.Settings.Limits.MaxBody, mux))}
 }
 
 // errUnauthorized is the reason in the answer to a request with a missing or wrong token.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,7 @@
 	Peers     []Peer                 `json:"peers"` // other VMs, until the platform's list of VMs has been read
 	Timing    Timing                 `json:"timing"`
 	Traffic   Traffic                `json:"traffic"`
+	Limits    Limits                 `json:"limits"`
 	Operator  Operator               `json:"operator"`
 	TLS       TLS                    `json:"tls"`
 	Traces    Traces                 `json:"traces"`
@@ -65,6 +66,14 @@
 	DrainDelay strictjson.Duration `json:"drainDelay"` // time after the start of a leave in which new requests are still accepted; default 2s
 }
 
+// Limits bound what the connections of callers may hold, and apply a second time to those of operators.
+type Limits struct {
+	MaxConnections   int   `json:"maxConnections"`   // open connections; default 4096
+	MaxRequestMemory int64 `json:"maxRequestMemory"` // bytes of all requests that are being received or run, beyond 8 KiB for each connection; default 64 MiB
+	MaxHeader        int   `json:"maxHeader"`        // bytes of the head of one request; default 64 KiB
+	MaxBody          int64 `json:"maxBody"`          // bytes of the body of one request; default 4 MiB
+}
+
 // Operator configures the access to the operator address.
 type Operator struct {
 	Token string `json:"token"` // bearer token; required unless the address is on loopback or TLS.CA is set
@@ -96,8 +105,18 @@
 	defaultMaxQueries   = 2000
 	defaultDrainDelay   = 2 * time.Second
 	defaultTraceRatio   = 0.01
-	maxWorkers          = 256
-	maxQueriesLimit     = 1_000_000
+
+	defaultMaxConnections   = 4096
+	defaultMaxRequestMemory = 64 << 20
+	defaultMaxHeader        = 64 << 10
+	// defaultMaxBody exceeds the longest query of the caller API, 64 Ki characters, in any encoding, and the
+	// largest templates.
+	defaultMaxBody = 4 << 20
+	// minMaxHeader leaves room for the headers that HTTP clients send by themselves.
+	minMaxHeader = 1 << 10
+
+	maxWorkers      = 256
+	maxQueriesLimit = 1_000_000
 	// maxGrace bounds Timing.Grace, since the keys of a crashed owner are not served for that
 	// time.
 	maxGrace = time.Minute
@@ -139,6 +158,10 @@
 	s.Traffic.DrainDelay = strictjson.Duration(defaultDrainDelay)
 	s.Traffic.Workers = defaultWorkers
 	s.Traffic.MaxQueries = defaultMaxQueries
+	s.Limits.MaxConnections = defaultMaxConnections
+	s.Limits.MaxRequestMemory = defaultMaxRequestMemory
+	s.Limits.MaxHeader = defaultMaxHeader
+	s.Limits.MaxBody = defaultMaxBody
 	s.Traces.Ratio = defaultTraceRatio
 	s.Log.Level = "info"
 }
@@ -153,7 +176,7 @@
 		}
 	}
 	checks := []func(*strictjson.Document) error{
-		s.validateAddresses, s.validatePeers, s.validateStore, s.validateTiming, s.validateTraffic, s.validateSecurity, s.validateOutput,
+		s.validateAddresses, s.validatePeers, s.validateStore, s.validateTiming, s.validateTraffic, s.validateLimits, s.validateSecurity, s.validateOutput,
 	}
 	for _, check := range checks {
 		if err := check(doc); err != nil {
@@ -253,6 +276,22 @@
 	return nil
 }
 
+func (s *Settings) validateLimits(doc *strictjson.Document) error {
+	if s.Limits.MaxConnections < 1 {
+		return doc.Fault("must be at least 1", "limits", "maxConnections")
+	}
+	if s.Limits.MaxBody < 1 {
+		return doc.Fault("must be at least 1", "limits", "maxBody")
+	}
+	if s.Limits.MaxHeader < minMaxHeader {
+		return doc.Fault(fmt.Sprintf("must be at least %d", minMaxHeader), "limits", "maxHeader")
+	}
+	if s.Limits.MaxRequestMemory < s.Limits.MaxBody {
+		return doc.Fault("must be at least maxBody", "limits", "maxRequestMemory")
+	}
+	return nil
+}
+
 func (s *Settings) validateSecurity(doc *strictjson.Document) error {
 	if (s.TLS.Cert == "") != (s.TLS.Key == "") {
 		return doc.Fault("cert and key go together", "tls")
