Count and log callers that are refused because of a limit

A refusal by a limit on callers left no trace: the daemon looked idle while callers got 503 or a closed connection. Each cause (no_connection, replaced, memory_full, head_too_large, body_too_large, timed_out) now has a counter, the connections and their memory a gauge, and a refusal a log line with cause and address, under the rate limit of its message. A connection that was only idle is not counted. TestRefusalsAreCounted.

--- a/daemon.go
+++ b/daemon.go
@@ -22,8 +22,6 @@
 	"github.com/gooseberrylock/gooseberrylock/backend"
 	"github.com/gooseberrylock/gooseberrylock/core"
 	"github.com/gooseberrylock/gooseberrylock/core/event"
-	"github.com/gooseberrylock/gooseberrylock/core/intake"
-	"github.com/gooseberrylock/gooseberrylock/internal/ingress"
 	"github.com/gooseberrylock/gooseberrylock/model"
 	"github.com/gooseberrylock/gooseberrylock/peer"
 	"github.com/gooseberrylock/gooseberrylock/settings"
@@ -207,8 +205,8 @@
 	}
 	g.Go(func() error { return d.listVMs(ctx) })
 	g.Go(func() error { return d.network.Serve(d.listeners.peer) })
-	g.Go(func() error { return d.serveHTTP(callers, d.listeners.caller) })
-	g.Go(func() error { return d.serveHTTP(operators, d.listeners.operator) })
+	g.Go(func() error { return d.serveHTTP("callers", callers, d.listeners.caller) })
+	g.Go(func() error { return d.serveHTTP("operators", operators, d.listeners.operator) })
 	g.Go(func() error {
 		select {
 		case <-d.stopServing:
@@ -233,9 +231,6 @@
 	return err
 }
 
-// smallRequestBytes is the memory for the request of a connection that no other one can use.
-const smallRequestBytes = 8 << 10
-
 // httpShutdownTimeout is the maximum time for the HTTP servers to finish writing responses at
 // shutdown.
 const httpShutdownTimeout = 5 * time.Second
@@ -339,28 +334,3 @@
 		}
 	}
 }
-
-// serveHTTP serves callers or operators within the limits of the settings.
-func (d *Daemon) serveHTTP(s *http.Server, lis net.Listener) error {
-	limits := d.cfg.Settings.Limits
-	guard, err := ingress.New(ingress.Config{
-		Intake: intake.Config{
-			MaxConns: limits.MaxConnections, ConnBytes: smallRequestBytes, MaxBytes: limits.MaxRequestMemory,
-		},
-		BodyTimeout:  ingress.DefaultBodyTimeout,
-		WriteTimeout: ingress.DefaultWriteTimeout,
-		Limits: func() ingress.Limits {
-			return ingress.Limits{MaxHeaderBytes: limits.MaxHeader, HeaderTimeout: headerTimeout}
-		},
-	})
-	if err != nil {
-		return eris.Wrapf(err, "limits at %s", lis.Addr())
-	}
-	if d.tls != nil {
-		lis = tls.NewListener(lis, d.tls)
-	}
-	if err := guard.Serve(s, lis); err != nil && !eris.Is(err, http.ErrServerClosed) {
-		return eris.Wrapf(err, "serve HTTP at %s", lis.Addr())
-	}
-	return nil
-}
--- a/daemon_test.go
+++ b/daemon_test.go
@@ -109,8 +109,8 @@
 		start(func() error { return w.run(ctx) })
 	}
 	start(func() error { return d.network.Serve(d.listeners.peer) })
-	start(func() error { return d.serveHTTP(callers, d.listeners.caller) })
-	start(func() error { return d.serveHTTP(operators, d.listeners.operator) })
+	start(func() error { return d.serveHTTP("callers", callers, d.listeners.caller) })
+	start(func() error { return d.serveHTTP("operators", operators, d.listeners.operator) })
 	t.Cleanup(func() {
 		_ = callers.Close()
 		_ = operators.Close()
--- a/entry/control.go
+++ b/entry/control.go
@@ -121,7 +121,7 @@
 		t.controlDue.Store(int64(e.At))
 		timer.Reset(max(e.At.Sub(t.now()), 0))
 	case directory.Log:
-		t.log.writeLine(e.Line)
+		t.log.WriteLine(e.Line)
 	}
 }
 
--- a/entry/log.go
+++ b/entry/log.go
@@ -125,8 +125,8 @@
 	logline.Warn:  log.WarnLevel,
 }
 
-// writeLine writes a log line that a reducer has returned.
-func (l *Log) writeLine(n logline.Line) {
+// WriteLine writes a log line unless its message exceeds the rate limit.
+func (l *Log) WriteLine(n logline.Line) {
 	level := levels[n.Level]
 	if level < l.Level {
 		return
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -48,6 +48,9 @@
 // Write writes all metrics to w in the text format of package metricstext.
 func (m *Meters) Write(w io.Writer) error { return metricstext.Write(w, m.registry) }
 
+// Registry returns the registry of the metrics, for those of other packages.
+func (m *Meters) Registry() metrics.Registry { return m.registry }
+
 func (m *Meters) increment(c dispatch.Counter) { m.counters[c].Inc(1) }
 
 func (m *Meters) recordDuration(e dispatch.RecordDuration) {
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -91,7 +91,7 @@
 	case dispatch.Wake:
 		tr.timer.Reset(max(e.At.Sub(tr.t.now()), 0))
 	case dispatch.Log:
-		tr.t.log.writeLine(e.Line)
+		tr.t.log.WriteLine(e.Line)
 	case dispatch.Count:
 		tr.t.meters.increment(e.Counter)
 	case dispatch.RecordDuration:
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -41,11 +41,22 @@
 	}
 	if err != nil {
 		c.stopReading(err)
+		c.observeBody(err)
 		return nil, err
 	}
 	return body, nil
 }
 
+// observeBody reports an error of ReadBody. ErrOverloaded has been reported where it arose.
+func (c *conn) observeBody(err error) {
+	switch err {
+	case ErrBodyTooLarge:
+		c.guard.observe(BodyTooLarge, c)
+	case ErrBodyTimeout:
+		c.guard.observe(TimedOut, c)
+	}
+}
+
 func (c *conn) readBody(r *http.Request, maxBytes int64, timeout time.Duration) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -80,7 +91,7 @@
 	last := 0 // bytes of the last chunk
 	for {
 		if len(full) == 0 || last == chunkBytes {
-			if err := c.slot.Grow(chunkBytes, c.guard.now()); err != nil {
+			if err := c.grow(chunkBytes); err != nil {
 				return nil, err
 			}
 			full = append(full, chunks.Get().(*[chunkBytes]byte))
@@ -103,7 +114,7 @@
 
 // collectShort reads a body of a stated length that fits into one chunk.
 func (c *conn) collectShort(in io.Reader, length int64) ([]byte, error) {
-	if err := c.slot.Grow(length, c.guard.now()); err != nil {
+	if err := c.grow(length); err != nil {
 		return nil, err
 	}
 	body := make([]byte, length)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -47,7 +47,7 @@
 
 func newConn(g *Guard, nc net.Conn) (*conn, error) {
 	c := &conn{Conn: nc, guard: g, inHead: true}
-	c.timer = time.AfterFunc(g.limits().IdleTimeout, c.Abort)
+	c.timer = time.AfterFunc(g.limits().IdleTimeout, c.expire)
 	slot, err := g.table.Open(g.now(), c)
 	if err != nil {
 		c.timer.Stop()
@@ -92,15 +92,25 @@
 	switch {
 	case !ok:
 	case size > limits.MaxHeaderBytes+readAheadBytes:
+		c.guard.observe(HeadTooLarge, c)
 		c.stopReading(errHeadTooLarge)
 	default:
 		held := len(p) + headerLineBytes*bytes.Count(p, []byte{'\n'})
-		if err := c.slot.Grow(int64(held), c.guard.now()); err != nil {
+		if err := c.grow(int64(held)); err != nil {
 			c.stopReading(err)
 		}
 	}
 }
 
+// grow counts n bytes of the request. The error means that the request is refused.
+func (c *conn) grow(n int64) error {
+	err := c.slot.Grow(n, c.guard.now())
+	if err != nil {
+		c.guard.observe(MemoryFull, c)
+	}
+	return err
+}
+
 // countHead adds n bytes to the size of the head and returns the sum, or false if no head is being
 // received: net/http also reads while a request runs, to learn that its caller has left.
 func (c *conn) countHead(n int, timeout time.Duration) (int, bool) {
@@ -212,8 +222,25 @@
 	}
 }
 
-// Abort implements intake.Caller. net/http notices that the connection is closed and calls Close.
+// Abort implements intake.Caller.
 func (c *conn) Abort() {
+	c.guard.observe(Replaced, c)
+	c.abort()
+}
+
+// expire ends a connection whose time is over. One that was idle is not a refusal.
+func (c *conn) expire() {
+	c.mu.Lock()
+	idle := c.inHead && c.headBytes == 0
+	c.mu.Unlock()
+	if !idle {
+		c.guard.observe(TimedOut, c)
+	}
+	c.abort()
+}
+
+// abort closes the connection. net/http notices it and calls Close.
+func (c *conn) abort() {
 	c.mu.Lock()
 	c.aborted = true
 	c.mu.Unlock()
@@ -225,8 +252,9 @@
 	c.mu.Lock()
 	answering := c.answering
 	c.mu.Unlock()
+	c.guard.observe(MemoryFull, c)
 	if answering {
-		c.Abort()
+		c.abort()
 		return
 	}
 	c.stopReading(intake.ErrTooManyBytes)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -57,6 +57,47 @@
 	WriteTimeout time.Duration // to write writeBytes of an answer
 	// Limits returns the limits in force.
 	Limits func() Limits
+	// Observe is called for each refusal, if it is set. It must not block.
+	Observe func(Refusal)
+}
+
+// Refusal is a connection or request that was given up because of a limit.
+type Refusal struct {
+	Cause  Cause
+	Remote string // address of the caller
+}
+
+// Cause is the limit that led to a Refusal.
+type Cause int
+
+const (
+	// NoConnection means that a new connection was closed, since all others run requests.
+	NoConnection Cause = iota
+	// Replaced means that an unused connection was closed for a new one.
+	Replaced
+	// MemoryFull means that a request was refused, or an unread answer cut off, for its memory.
+	MemoryFull
+	// HeadTooLarge means that a head exceeded its limit.
+	HeadTooLarge
+	// BodyTooLarge means that a body exceeded its limit.
+	BodyTooLarge
+	// TimedOut means that a head or body was not complete in time.
+	TimedOut
+	causes
+)
+
+var causeNames = [causes]string{"no_connection", "replaced", "memory_full", "head_too_large", "body_too_large", "timed_out"}
+
+// String returns the name of the cause in logs and metrics.
+func (c Cause) String() string { return causeNames[c] }
+
+// Causes returns all causes.
+func Causes() []Cause {
+	all := make([]Cause, causes)
+	for i := range all {
+		all[i] = Cause(i)
+	}
+	return all
 }
 
 // Validate returns an error for the first setting that is out of range.
@@ -85,6 +126,15 @@
 	return &Guard{cfg: cfg, table: intake.New(cfg.Intake), start: time.Now()}, nil
 }
 
+// Usage returns what the connections hold now.
+func (g *Guard) Usage() intake.Usage { return g.table.Usage() }
+
+func (g *Guard) observe(cause Cause, nc net.Conn) {
+	if g.cfg.Observe != nil {
+		g.cfg.Observe(Refusal{Cause: cause, Remote: nc.RemoteAddr().String()})
+	}
+}
+
 func (g *Guard) now() model.Time { return model.Time(time.Since(g.start)) }
 
 func (g *Guard) limits() Limits { return g.cfg.Limits().withDefaults() }
@@ -171,6 +221,7 @@
 		}
 		c, err := newConn(l.guard, nc)
 		if err != nil {
+			l.guard.observe(NoConnection, nc)
 			_ = nc.Close() // the caller may come again; nothing has been read from it
 			continue
 		}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/gooseberrylock/gooseberrylock/core/intake"
 )
@@ -28,6 +29,8 @@
 	address string
 	ran     atomic.Int64 // requests received completely
 	run     func(w http.ResponseWriter, r *http.Request)
+
+	bodyTimeout time.Duration
 }
 
 const maxBody = 100 << 10
@@ -48,7 +51,7 @@
 	is.NoErr(err)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	s := &server{t: t, guard: guard, address: lis.Addr().String()}
+	s := &server{t: t, guard: guard, address: lis.Addr().String(), bodyTimeout: waitTimeout}
 	s.run = func(http.ResponseWriter, *http.Request) {}
 	srv := &http.Server{Handler: s}
 	served := make(chan error, 1)
@@ -61,7 +64,7 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := ReadBody(r, maxBody, waitTimeout)
+	body, err := ReadBody(r, maxBody, s.bodyTimeout)
 	switch {
 	case errors.Is(err, ErrOverloaded):
 		Overloaded(w)
@@ -285,6 +288,47 @@
 	}
 }
 
+// Guards against refusals that nobody is told of, and against counting callers that were only idle.
+func TestRefusalsAreCounted(t *testing.T) {
+	tests := []struct {
+		name    string
+		request string
+		refused Cause
+		none    bool
+	}{
+		{name: "idle", none: true},
+		{name: "served and idle", request: post(10, 0), none: true},
+		{name: "half a head", request: "GET / HT", refused: TimedOut},
+		{name: "half a body", request: post(10, 5), refused: TimedOut},
+		{name: "large head", request: "GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 10_000), refused: HeadTooLarge},
+		{name: "large body", request: post(maxBody+1, 0), refused: BodyTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			registry := metrics.NewRegistry()
+			meters := NewMeters(registry, "callers")
+			cfg := testConfig()
+			cfg.Observe = meters.Observe
+			cfg.Limits = func() Limits {
+				return Limits{MaxHeaderBytes: 1000, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
+			}
+			s := newServer(t, cfg)
+			s.bodyTimeout = 50 * time.Millisecond
+			c := s.dial()
+			go c.send(tt.request)
+			_, _ = io.Copy(io.Discard, c) // until the server has closed the connection
+			for _, cause := range Causes() {
+				want := int64(0)
+				if !tt.none && cause == tt.refused {
+					want = 1
+				}
+				is.Equal(registry.Get("callers.refused."+cause.String()).(metrics.Counter).Count(), want)
+			}
+		})
+	}
+}
+
 func TestValidate(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(testConfig().Validate())
--- a/logging.go
+++ b/logging.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/internal/ingress"
 	"github.com/gooseberrylock/gooseberrylock/internal/loglimit"
 	"github.com/gooseberrylock/gooseberrylock/settings"
 )
@@ -62,3 +63,13 @@
 	}
 	entry.Msg(e.Message)
 }
+
+// logRefusal writes a line about a caller or operator that was refused because of a limit.
+func (l *logger) logRefusal(name string, r ingress.Refusal) {
+	const message = "connection or request refused"
+	ok, omitted := l.limiter.Allow(message)
+	if !ok {
+		return
+	}
+	l.Info().Str("step", "serve "+name).Str("cause", r.Cause.String()).Str("peer", r.Remote).Int("omitted", omitted).Msg(message)
+}
