Collect replies and bodies with the same code

The reader of replies and that of callers' bodies both collected recycled chunks and joined them. internal/chunkbuf does it for both.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -4,15 +4,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/gooseberrylock/gooseberrylock/core/intake"
+	"github.com/gooseberrylock/gooseberrylock/internal/chunkbuf"
 )
 
-// chunkBytes is the unit in which the memory of a body is taken.
-const chunkBytes = 8 << 10
-
 // The errors of ReadBody. Another error means that the body is not valid or the caller has left.
 var (
 	// ErrBodyTooLarge means that the body exceeds its limit.
@@ -24,10 +21,6 @@
 	ErrOverloaded = errors.New("too many unfinished requests")
 )
 
-// chunks recycles the chunks of unfinished bodies, since bodies that are refused would otherwise produce
-// garbage faster than it is collected.
-var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
-
 // ReadBody reads the body of a request of at most maxBytes bytes within a timeout. After an error, the
 // connection is closed after the answer.
 func ReadBody(r *http.Request, maxBytes int64, timeout time.Duration) ([]byte, error) {
@@ -79,37 +72,16 @@
 
 // collectBody reads a body. length is -1 if it is not stated.
 func (c *conn) collectBody(in io.Reader, length, maxBytes int64) ([]byte, error) {
-	if length >= 0 && length <= chunkBytes {
+	if length >= 0 && length <= chunkbuf.ChunkBytes {
 		return c.collectShort(in, length)
 	}
-	var full []*[chunkBytes]byte
-	defer func() {
-		for _, b := range full {
-			chunks.Put(b)
-		}
-	}()
-	last := 0 // bytes of the last chunk
-	for {
-		if len(full) == 0 || last == chunkBytes {
-			if err := c.grow(chunkBytes); err != nil {
-				return nil, err
-			}
-			full = append(full, chunks.Get().(*[chunkBytes]byte))
-			last = 0
-		}
-		n, err := in.Read(full[len(full)-1][last:])
-		last += n
-		size := (len(full)-1)*chunkBytes + last
-		if int64(size) > maxBytes {
-			return nil, ErrBodyTooLarge
-		}
-		if err == io.EOF {
-			return join(full, size), nil
-		}
-		if err != nil {
-			return nil, err
-		}
+	buffer := &chunkbuf.Buffer{}
+	defer buffer.Release()
+	body, err := buffer.Collect(io.LimitReader(in, maxBytes+1), c.grow)
+	if int64(len(body)) > maxBytes {
+		return nil, ErrBodyTooLarge
 	}
+	return body, err
 }
 
 // collectShort reads a body of a stated length that fits into one chunk.
@@ -122,15 +94,6 @@
 	return body, err
 }
 
-// join returns a copy of the first size bytes of the chunks.
-func join(full []*[chunkBytes]byte, size int) []byte {
-	body := make([]byte, 0, size)
-	for _, b := range full {
-		body = append(body, b[:min(chunkBytes, size-len(body))]...)
-	}
-	return body
-}
-
 // BeginAnswer must be called before an answer with a body of n bytes is written. The body's memory counts until
 // the caller has taken it.
 func BeginAnswer(r *http.Request, n int) {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -213,13 +214,7 @@
 	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
-	discard := chunks.Get().(*[chunkBytes]byte)
-	defer chunks.Put(discard)
-	for {
-		if _, err := c.Conn.Read(discard[:]); err != nil {
-			return
-		}
-	}
+	_, _ = io.Copy(io.Discard, c.Conn) // ends with the deadline, or when the caller has closed the connection
 }
 
 // Abort implements intake.Caller.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/gooseberrylock/gooseberrylock/core/intake"
+	"github.com/gooseberrylock/gooseberrylock/internal/chunkbuf"
 )
 
 // waitTimeout bounds the waits of the tests.
@@ -169,8 +170,8 @@
 	}{
 		{"none", post(0, 0), "0", http.StatusOK},
 		{"short", post(1, 0), "1", http.StatusOK},
-		{"of one chunk", post(chunkBytes, 0), fmt.Sprint(chunkBytes), http.StatusOK},
-		{"longer than one chunk", post(chunkBytes+1, 0), fmt.Sprint(chunkBytes + 1), http.StatusOK},
+		{"of one chunk", post(chunkbuf.ChunkBytes, 0), fmt.Sprint(chunkbuf.ChunkBytes), http.StatusOK},
+		{"longer than one chunk", post(chunkbuf.ChunkBytes+1, 0), fmt.Sprint(chunkbuf.ChunkBytes + 1), http.StatusOK},
 		{"of the greatest length", post(maxBody, 0), fmt.Sprint(maxBody), http.StatusOK},
 		{"too long", post(maxBody+1, 0), ErrBodyTooLarge.Error() + "\n", http.StatusBadRequest},
 		{"in chunks", chunked(maxBody, 100), fmt.Sprint(maxBody), http.StatusOK},
