Take a response with an odd status for no answer of a server or of the store

On the program's own interface it did in two places:

- A server's response with any status that is not 200 was read as its refusal if the body said so.
With status 000 and the code "shed" the daemon believed that a submit had not run and could send it again.
Now a status outside of 400 to 599 makes the attempt one that may have run (lost).
TestOddStatusIsNoAnswer failed before on 000, 001, 099, 302, 399, 600, 999 and +20 (shed != lost).
- A response of the store with a status below 400 was read as proof that nothing was written.
Now only 400 to 499 are.
TestOddStatusProvesNothing failed before on 000, 099 and 399.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -106,6 +106,13 @@
 	return s, nil
 }
 
+// minErrorStatus and maxErrorStatus bound the statuses with which a server refuses an attempt or reports an error.
+// A response with another status says nothing about the attempt.
+const (
+	minErrorStatus = 400
+	maxErrorStatus = 599
+)
+
 // Execute implements Client.
 func (h *HTTP) Execute(ctx context.Context, a *effect.StartAttempt) model.AttemptResult {
 	s, err := h.serverClient(&a.Server, a.Limits)
@@ -130,6 +137,9 @@
 	case *api.ExecuteResponse:
 		return successResult(r)
 	case *api.ExecuteErrorStatusCode:
+		if r.StatusCode < minErrorStatus || r.StatusCode > maxErrorStatus {
+			return model.AttemptResult{Outcome: model.OutcomeLost, Reason: fmt.Sprintf("status %d is not that of an answer", r.StatusCode)}
+		}
 		return refusalResult(&r.Response)
 	}
 	return model.AttemptResult{Outcome: model.OutcomeFailed, Reason: fmt.Sprintf("unexpected response %T", res)}
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -184,6 +184,41 @@
 	is.Equal(newClient(t, 1).Execute(t.Context(), newAttempt(address, model.KindSubmit)).Outcome, model.OutcomeTimeout)
 }
 
+// TestOddStatusIsNoAnswer guards against a response whose status is not that of an error, and that is taken
+// for the server's word that it did not run the attempt. A submit would then be sent again.
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	tests := []struct {
+		status string
+		want   model.OutcomeCode
+	}{
+		{"000", model.OutcomeLost},
+		{"001", model.OutcomeLost},
+		{"099", model.OutcomeLost},
+		{"204", model.OutcomeLost},
+		{"302", model.OutcomeLost},
+		{"399", model.OutcomeLost},
+		{"600", model.OutcomeLost},
+		{"999", model.OutcomeLost},
+		{"20", model.OutcomeLost},
+		{"+20", model.OutcomeLost},
+		{"2000", model.OutcomeLost},
+		{"429", model.OutcomeShed},
+		{"503", model.OutcomeShed},
+		{"599", model.OutcomeShed},
+	}
+	const body = `{"code":"shed","reason":"all slots are in use"}`
+	for _, tt := range tests {
+		t.Run(tt.status, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := startRawServer(t, func(_ int64, conn net.Conn) bool {
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", tt.status, len(body), body)
+				return err == nil
+			})
+			is.Equal(newClient(t, 1).Execute(t.Context(), newAttempt(address, model.KindSubmit)).Outcome, tt.want)
+		})
+	}
+}
+
 // TestNotConnected guards against reporting an attempt that was never sent as one that may have
 // run.
 func TestNotConnected(t *testing.T) {
--- a/store/store.go
+++ b/store/store.go
@@ -111,6 +111,12 @@
 	return PutResult{Outcome: event.WriteUnknown, Err: eris.Errorf("store at %s: unexpected response %T", h.url, res)}
 }
 
+// minRefusalStatus and maxRefusalStatus bound the statuses with which the store refuses a request.
+const (
+	minRefusalStatus = 400
+	maxRefusalStatus = 499
+)
+
 // putErrorOutcome classifies the error of a write. The result is WriteFailed only if the error
 // proves that nothing was written: no connection was made, or the store refused the request. In all
 // other cases the write may have taken effect although the reply was lost.
@@ -120,7 +126,7 @@
 		return event.WriteFailed
 	}
 	var status *api.ErrorStatusCode
-	if errors.As(err, &status) && status.StatusCode < 500 {
+	if errors.As(err, &status) && status.StatusCode >= minRefusalStatus && status.StatusCode <= maxRefusalStatus {
 		return event.WriteFailed
 	}
 	return event.WriteUnknown
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -192,6 +193,42 @@
 	is.Equal(down.Put(t.Context(), model.Object{Key: key(model.ObjectZone, "a"), Deleted: true}, 0).Outcome, event.WriteFailed)
 }
 
+// TestOddStatusProvesNothing guards against a response whose status is not that of a refusal, and that is taken
+// for the store's word that it wrote nothing.
+func TestOddStatusProvesNothing(t *testing.T) {
+	tests := []struct {
+		status string
+		want   event.WriteOutcome
+	}{
+		{"000", event.WriteUnknown},
+		{"099", event.WriteUnknown},
+		{"399", event.WriteUnknown},
+		{"503", event.WriteUnknown},
+		{"999", event.WriteUnknown},
+		{"400", event.WriteFailed},
+		{"429", event.WriteFailed},
+	}
+	const body = `{"step":"write","reason":"refused"}`
+	for _, tt := range tests {
+		t.Run(tt.status, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", tt.status, len(body), body)
+			}))
+			t.Cleanup(srv.Close)
+			h, err := NewHTTP(srv.URL, srv.Client(), nil)
+			is.NoErr(err)
+			is.Equal(h.Put(t.Context(), zoneObject(true), 0).Outcome, tt.want)
+		})
+	}
+}
+
 // TestWriteSentOnce guards against a write that net/http silently sends again on a new connection.
 // If the store applies the first request and then stops, the second is refused, and the refusal
 // would wrongly prove that nothing was written.
