--- a/e2e/hostile/hostile_test.go
+++ b/e2e/hostile/hostile_test.go
@@ -96,6 +96,37 @@
 	}
 }
 
+// Guards against crowds at the addresses for readiness checks and metrics: the platform then takes the VM for gone.
+func TestCrowdsAtSideAddresses(t *testing.T) {
+	sideCrowds := []crowd{
+		{name: "connections that send nothing", size: 700, limits: fewDescriptors, send: func(net.Conn, int) error { return nil }},
+		{name: "head without end", size: 300, limits: littleMemory, send: sendHead("", "a:\r\n", endlessBytes)},
+	}
+	daemon := buildDaemon(t)
+	for _, c := range sideCrowds {
+		for _, side := range []string{"readiness checks", "metrics"} {
+			t.Run(c.name+" at "+side, func(t *testing.T) {
+				is := is.New(t)
+				v := startVM(t, daemon, c.limits)
+				target, url := v.ready, "http://"+v.ready+wire.ReadyPath
+				if side == "metrics" {
+					target, url = v.metrics, "http://"+v.metrics+"/metrics"
+				}
+				callers := c.connect(t, target)
+				v.waitFor("all addresses answer while the crowd stays", func() bool {
+					return !v.lives() || getOnce(url) == http.StatusOK && v.ordinaryRequest(http.MethodGet, safePath, "during", nil) == http.StatusOK
+				})
+				callers.leave()
+				peak := v.peakUsage()
+				t.Logf("peak: %d MB, %d descriptors; statuses %v", peak.memory>>20, peak.descriptors, callers.statuses())
+				is.True(v.lives())
+				is.True(peak.memory <= int64(c.limits.memoryMB)<<20)
+				is.True(peak.descriptors <= c.limits.descriptors-reservedDescriptors)
+			})
+		}
+	}
+}
+
 // callers are the connected callers of a crowd.
 type callers struct {
 	conns []net.Conn
--- a/e2e/hostile/vm_test.go
+++ b/e2e/hostile/vm_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 
+	"github.com/gooseberrylock/gooseberrylock/platform"
 	"github.com/gooseberrylock/gooseberrylock/platform/platformtest"
 	"github.com/gooseberrylock/gooseberrylock/platform/wire"
 )
@@ -36,7 +37,8 @@
 type vm struct {
 	*process
 	server *platformtest.Server
-	caller string // address for callers
+	// Addresses for callers, readiness checks and metrics.
+	caller, ready, metrics string
 }
 
 // startVM starts the daemon with one backend server and waits until it serves.
@@ -69,7 +71,7 @@
 	}
 	store.Put(wire.KindConfig, wire.MainConfig, spec)
 
-	v := &vm{server: server, caller: address(t)}
+	v := &vm{server: server, caller: address(t), ready: address(t)}
 	v.process = startProcess(t, l, v.caller, daemon, "platform", "--settings", v.writeSettings(t, l, store.Address()))
 	v.waitFor("the daemon serves", func() bool { return v.ordinaryRequest(http.MethodGet, safePath, "start", nil) == http.StatusOK })
 	return v
@@ -81,13 +83,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	v.metrics = net.JoinHostPort(host, platform.MetricsPort)
 	port, err := strconv.Atoi(peerPort)
 	if err != nil {
 		t.Fatal(err)
 	}
 	data, err := json.Marshal(map[string]any{
 		"node": "vm1", "zone": "a", "ip": host,
-		"listen_addrs":        map[string]any{"front": v.caller, "ready": address(t)},
+		"listen_addrs":        map[string]any{"front": v.caller, "ready": v.ready},
 		"internal_port_range": []int{port, port},
 		"limits": map[string]any{
 			"memory_mb": l.memoryMB, "max_fds": l.descriptors, "link_mbps": 1000, "cpu_share": 0.4, "cores": 1,
