--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"syscall"
@@ -142,6 +143,7 @@
 // Serve serves srv on lis within the limits. It replaces the timeouts of srv and its hooks for connections.
 func (g *Guard) Serve(srv *http.Server, lis net.Listener) error {
 	srv.ReadTimeout, srv.ReadHeaderTimeout, srv.WriteTimeout, srv.IdleTimeout = 0, 0, 0, 0
+	srv.MaxHeaderBytes = math.MaxInt32 // conn applies the limit in force
 	srv.ConnState = stateChanged
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
