Do not run a request whose time has ended while its last byte arrived

Found by reading: the timer of a body or a head could fire while the request became complete. The request was then sent to a server on a connection that was being closed, and its caller got no answer. Now either the timer or the request wins. A refusal is counted once for a connection.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -44,9 +44,9 @@
 func (c *conn) observeBody(err error) {
 	switch err {
 	case ErrBodyTooLarge:
-		c.guard.observe(BodyTooLarge, c)
+		c.report(BodyTooLarge)
 	case ErrBodyTimeout:
-		c.guard.observe(TimedOut, c)
+		c.report(TimedOut)
 	}
 }
 
@@ -58,9 +58,11 @@
 		return nil, ErrBodyTooLarge
 	}
 	c.timer.Stop()
-	expired := time.AfterFunc(timeout, func() { c.stopReading(errTimeout) })
-	defer expired.Stop()
+	expiry := time.AfterFunc(timeout, func() { c.stopReading(errTimeout) })
 	body, err := c.collectBody(r.Body, r.ContentLength, maxBytes)
+	if !expiry.Stop() && err == nil {
+		err = errTimeout // reads fail from now on, so the request cannot be answered in order
+	}
 	switch {
 	case errors.Is(err, errTimeout):
 		return nil, ErrBodyTimeout
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -41,9 +41,11 @@
 	readError error // if set, nothing more is read
 	aborted   bool
 	closing   bool // an answer has been written that net/http does not know of; no other may follow
-	answering bool
-	inHead    bool
+	inHead    bool // a head, or the pause before it
 	headBytes int
+	running   bool // a whole request has been received and its answer not been written to the end
+	answering bool
+	reported  bool // a refusal has been reported
 }
 
 func newConn(g *Guard, nc net.Conn) (*conn, error) {
@@ -93,7 +95,7 @@
 	switch {
 	case !ok:
 	case size > limits.MaxHeaderBytes+readAheadBytes:
-		c.guard.observe(HeadTooLarge, c)
+		c.report(HeadTooLarge)
 		c.stopReading(errHeadTooLarge)
 	default:
 		held := len(p) + headerLineBytes*bytes.Count(p, []byte{'\n'})
@@ -107,11 +109,22 @@
 func (c *conn) grow(n int64) error {
 	err := c.slot.Grow(n, c.guard.now())
 	if err != nil {
-		c.guard.observe(MemoryFull, c)
+		c.report(MemoryFull)
 	}
 	return err
 }
 
+// report reports the first refusal of the connection.
+func (c *conn) report(cause Cause) {
+	c.mu.Lock()
+	first := !c.reported
+	c.reported = true
+	c.mu.Unlock()
+	if first {
+		c.guard.observe(cause, c)
+	}
+}
+
 // countHead adds n bytes to the size of the head and returns the sum, or false if no head is being
 // received: net/http also reads while a request runs, to learn that its caller has left.
 func (c *conn) countHead(n int, timeout time.Duration) (int, bool) {
@@ -219,17 +232,22 @@
 
 // Abort implements intake.Caller.
 func (c *conn) Abort() {
-	c.guard.observe(Replaced, c)
+	c.report(Replaced)
 	c.abort()
 }
 
 // expire ends a connection whose time is over. One that was idle is not a refusal.
 func (c *conn) expire() {
 	c.mu.Lock()
+	late := c.running // the request was received while the timer fired
 	idle := c.inHead && c.headBytes == 0
+	c.aborted = c.aborted || !late
 	c.mu.Unlock()
+	if late {
+		return
+	}
 	if !idle {
-		c.guard.observe(TimedOut, c)
+		c.report(TimedOut)
 	}
 	c.abort()
 }
@@ -247,7 +265,7 @@
 	c.mu.Lock()
 	answering := c.answering
 	c.mu.Unlock()
-	c.guard.observe(MemoryFull, c)
+	c.report(MemoryFull)
 	if answering {
 		c.abort()
 		return
@@ -268,13 +286,21 @@
 	return c.slot.Enter(intake.Receiving, c.guard.now())
 }
 
-// received ends the time for the request. The error means that the request has been refused.
+// received ends the time for the request. The error means that the request has been refused or its time is over; it
+// must not run then.
 func (c *conn) received() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead = false
 	c.timer.Stop()
-	return c.slot.Enter(intake.Running, c.guard.now())
+	if c.aborted {
+		return net.ErrClosed
+	}
+	if err := c.slot.Enter(intake.Running, c.guard.now()); err != nil {
+		return err
+	}
+	c.running = true
+	return nil
 }
 
 // answerBegins counts an answer of n bytes that will be written.
@@ -290,7 +316,7 @@
 func (c *conn) answered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answering = false
+	c.running, c.answering = false, false
 	c.inHead, c.headBytes = true, 0
 	_ = c.slot.Enter(intake.Idle, c.guard.now()) // after an error the connection is closed by the next read
 	c.timer.Reset(c.guard.limits().IdleTimeout)
