--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -289,6 +289,27 @@
 	}
 }
 
+// Guards against a timer of an idle connection, or of a head or body, that fires while the last byte of a request
+// arrives: the request must not be sent to a server on a connection that is then closed without an answer.
+func TestTimerAndLastByte(t *testing.T) {
+	for _, request := range []string{post(0, 0), post(10, 0), post(maxBody, 0)} {
+		t.Run(fmt.Sprintf("%d bytes, timer after the request", len(request)), func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, testConfig())
+			s.run = func(_ http.ResponseWriter, r *http.Request) {
+				connOf(r).expire()
+				is.NoErr(r.Context().Err())
+			}
+			c := s.dial()
+			go c.send(request + post(0, 0))
+			for range 2 {
+				resp, _ := c.answer(is)
+				is.Equal(resp.StatusCode, http.StatusOK)
+			}
+		})
+	}
+}
+
 // Guards against refusals that nobody is told of, and against counting callers that were only idle.
 func TestRefusalsAreCounted(t *testing.T) {
 	tests := []struct {
