--- a/e2e/hostile/hostile_test.go
+++ b/e2e/hostile/hostile_test.go
@@ -36,8 +36,8 @@
 	size   int
 	limits limits
 	// send writes what caller n sends on its connection. An error means that the daemon has closed it.
-	send func(conn net.Conn, n int) error
-	deaf bool // the callers do not read their answers
+	send   func(conn net.Conn, n int) error
+	unread bool // the callers do not read their answers
 }
 
 // Limits of the VMs. Crowds that fill the memory have the descriptors of the users' deployments, and
@@ -65,7 +65,7 @@
 	{name: "connections that send nothing", size: 700, limits: fewDescriptors, send: func(net.Conn, int) error { return nil }},
 	{name: "connections with half a head", size: 700, limits: fewDescriptors, send: sendHead("", "X-Filler: x\r\n", 100)},
 	{name: "connections with an unfinished body", size: 700, limits: fewDescriptors, send: sendBody(100)},
-	{name: "answers that are not read", size: 200, limits: littleMemory, send: sendWithoutReading(), deaf: true},
+	{name: "answers that are not read", size: 200, limits: littleMemory, send: sendWithoutReading(), unread: true},
 	{name: "all kinds together", size: 600, limits: littleMemory, send: sendMixed},
 }
 
@@ -141,7 +141,7 @@
 	t.Helper()
 	all := &callers{status: make(map[int]int)}
 	dialer := net.Dialer{}
-	if c.deaf {
+	if c.unread {
 		dialer.Control = smallReceiveBuffer
 	}
 	var sending sync.WaitGroup
@@ -155,7 +155,7 @@
 			_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout))
 			_ = c.send(conn, n) // an error means that the daemon has closed the connection
 		})
-		if !c.deaf {
+		if !c.unread {
 			all.wg.Go(func() { all.read(conn, n) })
 		}
 	}
