Say once what the tests with hostile callers send and check

sendRequestTo did what sendEndless does, and the checks that the process lives and has stayed within the memory and descriptors of its VM stood in three tests. They now call sendEndless and process.checkLimits; crowds, bounds and assertions are the same.

No product code changes.

--- a/e2e/hostile/daemon_test.go
+++ b/e2e/hostile/daemon_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -71,16 +70,6 @@
 	return resp.StatusCode
 }
 
-// sendRequestTo sends a head and a body without end.
-func sendRequestTo(head, unit string) func(net.Conn, int) error {
-	return func(conn net.Conn, _ int) error {
-		if _, err := io.WriteString(conn, head); err != nil {
-			return err
-		}
-		return writeEndless(conn, unit, endlessBytes)
-	}
-}
-
 // Guards the program's own interface, for callers and for operators, against the same kinds of callers.
 func TestCrowdsAtOwnInterface(t *testing.T) {
 	const (
@@ -96,13 +85,13 @@
 		crowd    crowd
 		operator bool
 	}{
-		{crowd: crowd{name: "long bodies", size: 100, send: sendRequestTo(search+long, "x")}},
-		{crowd: crowd{name: "chunks without end", size: 100, send: sendRequestTo(search+inChunks, longChunk)}},
-		{crowd: crowd{name: "chunks of one byte without end", size: 300, send: sendRequestTo(search+inChunks, chunkText)}},
-		{crowd: crowd{name: "head without end", size: 200, send: sendRequestTo(search, "a:\r\n")}},
+		{crowd: crowd{name: "long bodies", size: 100, send: sendEndless(search+long, "x", endlessBytes)}},
+		{crowd: crowd{name: "chunks without end", size: 100, send: sendEndless(search+inChunks, longChunk, endlessBytes)}},
+		{crowd: crowd{name: "chunks of one byte without end", size: 300, send: sendEndless(search+inChunks, chunkText, endlessBytes)}},
+		{crowd: crowd{name: "head without end", size: 200, send: sendEndless(search, "a:\r\n", endlessBytes)}},
 		{crowd: crowd{name: "connections that send nothing", size: 700, send: silent}},
-		{crowd: crowd{name: "long bodies to operators", size: 100, send: sendRequestTo(template+long, "x")}, operator: true},
-		{crowd: crowd{name: "head to operators without end", size: 200, send: sendRequestTo(template, "a:\r\n")}, operator: true},
+		{crowd: crowd{name: "long bodies to operators", size: 100, send: sendEndless(template+long, "x", endlessBytes)}, operator: true},
+		{crowd: crowd{name: "head to operators without end", size: 200, send: sendEndless(template, "a:\r\n", endlessBytes)}, operator: true},
 		{crowd: crowd{name: "connections to operators that send nothing", size: 700, send: silent}, operator: true},
 	}
 	program := buildDaemon(t)
@@ -120,9 +109,7 @@
 			d.waitFor("ordinary requests are answered after the crowd has left", func() bool { return !d.lives() || d.answers() })
 			peak := d.peakUsage()
 			t.Logf("peak: %d MB, %d descriptors; statuses %v", peak.memory>>20, peak.descriptors, callers.statuses())
-			is.True(d.lives())
-			is.True(peak.memory <= int64(ownLimits.memoryMB)<<20)
-			is.True(peak.descriptors <= ownLimits.descriptors-reservedDescriptors)
+			d.checkLimits(is)
 		})
 	}
 }
--- a/e2e/hostile/hostile_test.go
+++ b/e2e/hostile/hostile_test.go
@@ -88,9 +88,7 @@
 			peak := v.peakUsage()
 			t.Logf("peak: %d MB (%d MB resident, %d MB unread), %d descriptors; statuses %v", peak.memory>>20, peak.resident>>20,
 				peak.unread>>20, peak.descriptors, callers.statuses())
-			is.True(v.lives())
-			is.True(peak.memory <= int64(c.limits.memoryMB)<<20)
-			is.True(peak.descriptors <= c.limits.descriptors-reservedDescriptors)
+			v.checkLimits(is)
 			callers.checkRefusals(is, v)
 		})
 	}
@@ -119,9 +117,7 @@
 				callers.leave()
 				peak := v.peakUsage()
 				t.Logf("peak: %d MB, %d descriptors; statuses %v", peak.memory>>20, peak.descriptors, callers.statuses())
-				is.True(v.lives())
-				is.True(peak.memory <= int64(c.limits.memoryMB)<<20)
-				is.True(peak.descriptors <= c.limits.descriptors-reservedDescriptors)
+				v.checkLimits(is)
 			})
 		}
 	}
--- a/e2e/hostile/process_test.go
+++ b/e2e/hostile/process_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/gooseberrylock/gooseberrylock/internal/testaddr"
 )
 
@@ -163,6 +165,15 @@
 	return peak
 }
 
+// checkLimits checks that the process lives and has stayed within the limits of its VM.
+func (p *process) checkLimits(is *is.I) {
+	is.Helper()
+	peak := p.peakUsage()
+	is.True(p.lives())
+	is.True(peak.memory <= int64(p.limits.memoryMB)<<20)
+	is.True(peak.descriptors <= p.limits.descriptors-reservedDescriptors)
+}
+
 // statusBytes returns a field of the kernel's status of the process, or 0 if the process has ended.
 func (p *process) statusBytes(field string) int64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
