Find a slow version by a few of its answers

What callers saw: a version five times as slow, at 22.5 requests a second over 9 VMs, was completed; all requests then went to it, also those sent more than 5 s after its 50th slow answer.

Cause: a VM compared latencies only after 50 outcomes of the old version on a route; until the deadline of a rollout of 12 s it has about 30. Nothing asked before the completion whether latencies had been compared at all. Of the canary requests of all VMs (about 25) none counted. At 45 a second (60 a VM) the 50 came so late that fewer than the 14 pairs that a rollback needs were left. Evidence: the log line "writing the new state of a rollout" names only pairs by failure; the model of the fleet shows Slow.Pairs 0 at the rate of the case.

Change: each answer of the target version is compared with up to four of the old version around it on the same VM and route (two before, two after, 5 s apart at most). One that is not slower is the slowest of n neighbours with a probability of 1/(n+1) at most, whatever the latencies are, so that seven slow answers in a row over all VMs are enough. VMs tell each other these counts (new fields of relay.proto and peer.proto, which older builds ignore). The reader also compares anew from each of six samples on, so that a version that turns slow late is found. A version is completed only if the latencies compared could have shown that it is slow. Thresholds of the pairs are as before; the probability of a false rollback by ranks is 0.002 at most. The controller of the program's own interface asks for compared latencies before each stage already, and is as it was.

TestRanks, TestRanksOfGoodVersion, TestSlowAfterSample.

Tried and dropped: one mean of the likelihood ratios of pairs and ranks, also for the own interface.

--- a/core/directory/rollouts_test.go
+++ b/core/directory/rollouts_test.go
@@ -38,7 +38,7 @@
 // pairEvidence returns evidence of n pairs, in newWorse of which only the new version failed.
 func pairEvidence(n, newWorse uint64) []model.MoveEvidence {
 	order := rolloutOrder(model.RolloutOrdered, 6).Value.(*model.Rollout).Order()
-	return []model.MoveEvidence{{Move: order, Route: "read", Failures: model.PairCounts{Pairs: n, NewWorse: newWorse}}}
+	return []model.MoveEvidence{{Move: order, Route: "read", Failures: model.PairCounts{Pairs: n, NewWorse: newWorse}, Slow: model.PairCounts{Pairs: n}}}
 }
 
 func followerEvidence(vm model.VM, n, newWorse uint64) FollowerEvidenceReceived {
--- a/core/directory/verdict.go
+++ b/core/directory/verdict.go
@@ -29,6 +29,7 @@
 	}
 	for _, r := range s.runningRollouts() {
 		r.usage.sample(now)
+		r.evidence.SampleRanks(now.Sub(r.orderedAt), r.order.Duration)
 		due, ok := s.dueState(r, now)
 		if !ok {
 			continue
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -88,7 +88,7 @@
 		attempts: make(map[model.AttemptID]*attempt),
 		senders:  make(map[model.VM]*sender),
 		canaries: make(map[model.ReplicaSet]*canary),
-		pairer:   moves.NewPairer(),
+		pairer:   moves.NewRankingPairer(),
 	}
 }
 
--- a/core/moves/evidence.go
+++ b/core/moves/evidence.go
@@ -57,6 +57,7 @@
 	inc := model.MoveEvidence{
 		Failures: pairIncrease(e.Failures, ev.Failures),
 		Slow:     pairIncrease(e.Slow, ev.Slow),
+		Ranks:    rankIncrease(e.Ranks, ev.Ranks),
 		New:      increase(e.New, ev.New),
 		Old:      increase(e.Old, ev.Old),
 	}
@@ -77,6 +78,7 @@
 func addCounters(e *model.MoveEvidence, inc model.MoveEvidence) {
 	e.Failures = e.Failures.Add(inc.Failures)
 	e.Slow = e.Slow.Add(inc.Slow)
+	e.Ranks = e.Ranks.Add(inc.Ranks)
 	e.New += inc.New
 	e.Old += inc.Old
 }
@@ -92,6 +94,15 @@
 	}
 }
 
+func rankIncrease(a, b model.RankCounts) model.RankCounts {
+	var inc model.RankCounts
+	for i := range inc.Trials {
+		inc.Trials[i] = increase(a.Trials[i], b.Trials[i])
+		inc.Slowest[i] = increase(a.Slowest[i], b.Slowest[i])
+	}
+	return inc
+}
+
 // moveState is the state of a move that one VM keeps in memory, besides the stored object.
 type moveState struct {
 	name     string
--- a/core/moves/likelihood.go
+++ b/core/moves/likelihood.go
@@ -2,15 +2,20 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
 const (
 	// falseRollbackProbability is an upper bound of the probability that a move to a version
-	// that is not worse is rolled back because of its evidence.
+	// that is not worse is rolled back because of its pairs.
 	falseRollbackProbability = 0.01
 
+	// falseRankProbability is the same for all its ranks, of which a few are enough even so, and again for
+	// the ranks since a sample.
+	falseRankProbability = 0.001
+
 	// testsPerRoute counts the test of failed queries and the test of slow queries.
 	testsPerRoute = 2
 
@@ -65,6 +70,42 @@
 	return bound
 }
 
+// rankBets are the shares of a stake that are bet on the next outcome of the new version being the slowest.
+// A large bet finds a version that always is after a few outcomes, a small one a version that often is.
+var rankBets = [...]float64{0.25, 0.5, 0.9}
+
+// logRankRatio returns the logarithm of the likelihood ratio of the ranks: what has become, on average over
+// rankBets, of a stake of 1 if this share of it was bet at each outcome. The odds are fair for a new version
+// that is not slower: to be the slowest of n neighbours and itself pays n times the bet.
+func logRankRatio(c model.RankCounts) float64 {
+	var logs [len(rankBets)]float64
+	for i, bet := range rankBets {
+		logs[i] = logStake(c, bet)
+	}
+	largest := slices.Max(logs[:])
+	sum := 0.0
+	for _, l := range logs {
+		sum += math.Exp(l - largest)
+	}
+	return largest + math.Log(sum/float64(len(rankBets)))
+}
+
+// logStake returns the logarithm of what has become of a stake of 1.
+func logStake(c model.RankCounts, bet float64) float64 {
+	sum := 0.0
+	for i := range c.Trials {
+		slowest := float64(c.Slowest[i])
+		sum += slowest*math.Log1p(bet*float64(i+1)) + (float64(c.Trials[i])-slowest)*math.Log1p(-bet)
+	}
+	return sum
+}
+
+// logRankThreshold returns the logarithm of the likelihood ratio of the ranks from which on a move with this
+// number of routes is withheld.
+func logRankThreshold(routes int) float64 {
+	return math.Log(float64(routes) * maxGroupSize / falseRankProbability)
+}
+
 // logTail returns log P(X <= a) for X binomial with n trials and p = 1/2.
 func logTail(n, a float64) float64 {
 	if n > maxExactPairs {
--- a/core/moves/pairer.go
+++ b/core/moves/pairer.go
@@ -52,7 +52,8 @@
 // Pairer pairs outcomes of the new and the old version on one traffic worker, and counts in
 // how many pairs only one of them failed or was slow. It is not safe for concurrent use.
 type Pairer struct {
-	routes map[pairKey]*routePairs
+	routes       map[pairKey]*routePairs
+	compareRanks bool
 }
 
 type pairKey struct {
@@ -63,6 +64,14 @@
 // NewPairer returns a Pairer without outcomes.
 func NewPairer() *Pairer { return &Pairer{routes: make(map[pairKey]*routePairs)} }
 
+// NewRankingPairer returns a Pairer that also counts how often an outcome of the new version was slower
+// than those of the old version around it.
+func NewRankingPairer() *Pairer {
+	p := NewPairer()
+	p.compareRanks = true
+	return p
+}
+
 // Record adds one outcome.
 func (p *Pairer) Record(o Outcome, now model.Time) {
 	k := pairKey{o.Route, o.Move}
@@ -72,6 +81,9 @@
 		p.routes[k] = r
 	}
 	r.lastOutcome = now
+	if p.compareRanks {
+		r.ranks.record(o, now, &r.counts.Ranks)
+	}
 	if o.New {
 		r.recordNew(o, now)
 		return
@@ -84,6 +96,7 @@
 func (p *Pairer) Flush(now model.Time, out *effect.List) {
 	var changed []pairKey
 	for k, r := range p.routes {
+		r.ranks.endOverdue(now, &r.counts.Ranks)
 		switch {
 		case r.counts != (model.MoveEvidence{}):
 			changed = append(changed, k)
@@ -122,6 +135,7 @@
 type routePairs struct {
 	counts      model.MoveEvidence
 	lastOutcome model.Time
+	ranks       ranks
 
 	oldHalf  pairHalf // latest unpaired outcome of the old version
 	newHalf  pairHalf // latest unpaired outcome of the new version
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -35,6 +35,7 @@
 	perSec    float64 // requests of all callers, a second
 	// badShare is the share of failures among the answers of a bad version.
 	badShare float64
+	work     time.Duration // half of the mean time of an answer
 	duration time.Duration // of a rollout
 	lastReq  int
 	messages int // heartbeats and checks between VMs
@@ -51,11 +52,13 @@
 	limit    float64    // stated in its answers unless 0
 	arrivals int        // attempts that have reached it
 	badFrom  model.Time // from then on it fails; model.Never if it is sound
+	slowdown float64    // factor of its time for an answer from slowFrom on, unless 0
+	slowFrom model.Time
 	goneAt   model.Time // removal of its entry, after which it serves on; 0 before
 }
 
 func newFleet(seed uint64, vms int, perSec float64) *fleet {
-	f := &fleet{scheduler: vtime.NewScheduler(seed), rng: rand.New(rand.NewPCG(seed, 1)), servers: make(map[model.BackendServerID]*server), perSec: perSec, badShare: 1, duration: 12 * time.Second}
+	f := &fleet{scheduler: vtime.NewScheduler(seed), rng: rand.New(rand.NewPCG(seed, 1)), servers: make(map[model.BackendServerID]*server), perSec: perSec, badShare: 1, work: 5 * time.Millisecond, duration: 12 * time.Second}
 	f.store = &store{fleet: f, objects: make(map[directory.Kind]map[string]directory.Change), removals: make(map[directory.Kind]map[string]uint64)}
 	route := model.EntryRoute{
 		Name: "read", Host: "shop.example", PathPrefix: "/", Idempotent: true, Timeout: 2 * time.Second,
@@ -164,6 +167,8 @@
 	inTouchAfter  = 4 * time.Second
 	rollbackBound = 5 * time.Second
 	maxBadAnswers = 50
+	// badSlowdown is the factor of the latency from which on an answer counts as bad.
+	badSlowdown = 3
 )
 
 func (o *observer) arrived(v *vm, request int, version model.VersionID) {
--- a/internal/fleetsim/vm_test.go
+++ b/internal/fleetsim/vm_test.go
@@ -274,12 +274,19 @@
 		v.fleet.left.arrived(v, s)
 		v.fleet.limited.arrived(v, s)
 		bad := v.fleet.now() >= s.badFrom && v.fleet.rng.Float64() < v.fleet.badShare
-		work := 5*time.Millisecond + time.Duration(v.fleet.rng.ExpFloat64()*float64(5*time.Millisecond))
+		work := v.fleet.work + time.Duration(v.fleet.rng.ExpFloat64()*float64(v.fleet.work))
+		slowed := s.slowdown > 0 && v.fleet.now() >= s.slowFrom
+		if slowed {
+			work = time.Duration(float64(work) * s.slowdown)
+		}
 		if s.slow {
 			work += slowWork
 		}
 		v.later(work, func() {
 			reply := &dispatch.Reply{Status: 200, Signature: "s"}
+			if slowed && s.slowdown >= badSlowdown {
+				v.fleet.seen.answeredBadly(s.value.Version)
+			}
 			if bad {
 				reply = &dispatch.Reply{Status: 500, Signature: "s"}
 				v.fleet.seen.answeredBadly(s.value.Version)
--- a/model/object.go
+++ b/model/object.go
@@ -138,6 +138,35 @@
 	return PairCounts{c.Pairs + o.Pairs, c.NewWorse + o.NewWorse, c.OldWorse + o.OldWorse}
 }
 
+// MaxNeighbours is the largest number of outcomes of the old version with which one of the new version is
+// compared.
+const MaxNeighbours = 4
+
+// RankCounts counts outcomes of the new version that were compared by latency with outcomes of the old
+// version around them. The index is the number of these neighbours less one.
+type RankCounts struct {
+	Trials  [MaxNeighbours]uint64 // all compared outcomes
+	Slowest [MaxNeighbours]uint64 // those that were slower than all neighbours
+}
+
+// Add returns the sums of the counts of c and o.
+func (c RankCounts) Add(o RankCounts) RankCounts {
+	for i := range c.Trials {
+		c.Trials[i] += o.Trials[i]
+		c.Slowest[i] += o.Slowest[i]
+	}
+	return c
+}
+
+// Sums returns the numbers of all compared outcomes and of those that were slower than all neighbours.
+func (c RankCounts) Sums() (trials, slowest uint64) {
+	for i := range c.Trials {
+		trials += c.Trials[i]
+		slowest += c.Slowest[i]
+	}
+	return trials, slowest
+}
+
 // MoveEvidence holds the counts that one VM has made for one move and route since its boot. The
 // counts never decrease.
 type MoveEvidence struct {
@@ -147,6 +176,7 @@
 	Boot     Boot
 	Failures PairCounts // pairs compared by failure
 	Slow     PairCounts // pairs compared by latency
+	Ranks    RankCounts `json:",omitzero"` // of a Pairer that compares ranks
 	New, Old uint64     // requests sent to each version
 	Withheld bool       // whether VM has stopped sending traffic to the new version
 }
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -235,6 +235,18 @@
 	return model.PairCounts{Pairs: p.GetPairs(), NewWorse: p.GetNewWorse(), OldWorse: p.GetOldWorse()}
 }
 
+func ranksToPB(c model.RankCounts) *peerpb.RankCounts {
+	return &peerpb.RankCounts{Trials: c.Trials[:], Slowest: c.Slowest[:]}
+}
+
+// ranksFromPB leaves out counts of more neighbours than this build compares.
+func ranksFromPB(p *peerpb.RankCounts) model.RankCounts {
+	var c model.RankCounts
+	copy(c.Trials[:], p.GetTrials())
+	copy(c.Slowest[:], p.GetSlowest())
+	return c
+}
+
 func evidenceToPB(e *model.MoveEvidence) *peerpb.MoveEvidence {
 	return &peerpb.MoveEvidence{
 		Move:        e.Move,
@@ -243,6 +255,7 @@
 		Boot:        uint64(e.Boot),
 		Failures:    pairsToPB(e.Failures),
 		Slow:        pairsToPB(e.Slow),
+		Ranks:       ranksToPB(e.Ranks),
 		NewRequests: e.New,
 		OldRequests: e.Old,
 		Withheld:    e.Withheld,
@@ -257,6 +270,7 @@
 		Boot:     model.Boot(p.GetBoot()),
 		Failures: pairsFromPB(p.GetFailures()),
 		Slow:     pairsFromPB(p.GetSlow()),
+		Ranks:    ranksFromPB(p.GetRanks()),
 		New:      p.GetNewRequests(),
 		Old:      p.GetOldRequests(),
 		Withheld: p.GetWithheld(),
--- a/peer/relay/codec_test.go
+++ b/peer/relay/codec_test.go
@@ -53,6 +53,7 @@
 	evidence := []model.MoveEvidence{{
 		Move: "files/3/v2", Route: "read", VM: "vm1", Boot: 7, Withheld: true,
 		Failures: model.PairCounts{Pairs: 9, NewWorse: 2, OldWorse: 1}, Slow: model.PairCounts{Pairs: 8, NewWorse: 4, OldWorse: 3},
+		Ranks: model.RankCounts{Trials: [model.MaxNeighbours]uint64{1, 2, 3, 9}, Slowest: [model.MaxNeighbours]uint64{0, 1, 2, 8}},
 	}}
 	usage := []model.RolloutUsage{{Order: "set/6/v2", VM: "vm1", Boot: 7, Demand: 45, Requests: 40, Sent: 3, Failed: 2, OldSent: 38, OldFailed: 1}}
 	is.Equal(decodeUsage(&relaypb.FollowRequest{Vm: "vm1", Usage: encodeUsage(usage)}), usage)
--- a/peer/relay/rollouts.go
+++ b/peer/relay/rollouts.go
@@ -37,6 +37,7 @@
 			Boot:     uint64(ev.Boot),
 			Failures: encodePairs(ev.Failures),
 			Slow:     encodePairs(ev.Slow),
+			Ranks:    &relaypb.Ranks{Trials: ev.Ranks.Trials[:], Slowest: ev.Ranks.Slowest[:]},
 			Withheld: ev.Withheld,
 		})
 	}
@@ -54,6 +55,7 @@
 			Boot:     model.Boot(ev.GetBoot()),
 			Failures: decodePairs(ev.GetFailures()),
 			Slow:     decodePairs(ev.GetSlow()),
+			Ranks:    decodeRanks(ev.GetRanks()),
 			Withheld: ev.GetWithheld(),
 		})
 	}
@@ -83,6 +85,14 @@
 	return usage
 }
 
+// decodeRanks leaves out counts of more neighbours than this build compares.
+func decodeRanks(p *relaypb.Ranks) model.RankCounts {
+	var c model.RankCounts
+	copy(c.Trials[:], p.GetTrials())
+	copy(c.Slowest[:], p.GetSlowest())
+	return c
+}
+
 func encodePairs(c model.PairCounts) *relaypb.Pairs {
 	return &relaypb.Pairs{All: c.Pairs, NewWorse: c.NewWorse, OldWorse: c.OldWorse}
 }
