Bound the answers of backend servers and of the store that never end

Report: a faulty server sent bytes without end, in a head or a body, and the VM that had called it ran out of memory. It can happen here, in three of four clients: - the program's own interface, answers of backend servers (backend): the generated decoder reads a body to its end, and a head may have 10 MB. 20 attempts of 0.5 s held 5.5 GB, and the test process then ended at its limit. - its store (store): one list held 5.8 GB within 1 s, and 2.6 GB in a body without a length. - the platform's store (platform): a bound of 32 MiB an answer, read into a growing slice, for five kinds at once: 259 to 542 MB where a VM has 284 MB. Heads had 10 MB. Answers of the platform's backend servers were bounded already (TestEndlessReplies).

Change: internal/answers reads bodies in chunks that count against a pool (core/quota), as the platform's replies do, whose code moves there. Limits of unfinished answers: 16 MiB and 8 MiB each (backend servers, the platform's store), 32 MiB (the own store, whose list holds all objects); heads 64 KiB. An answer beyond them is an error: the attempt counts as one that may have run, a read of the store as failed.

Tests: TestEndlessAnswers (backend, store), TestEndlessAnswersOfTheStore (platform), 11 kinds each, before: store 4 failed (122 to 5,850 MB where 64 are allowed) and the process ended at the 11th; backend 5 of the first 6 failed (260 to 5,554 MB) and the process ended; platform 8 of 11 failed (84 to 542 MB). Memory of the test processes was limited to 12 GB. Now all hold, at most 32 MB.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -18,6 +18,8 @@
 
 	api "github.com/gooseberrylock/gooseberrylock/api/backend"
 	"github.com/gooseberrylock/gooseberrylock/core/effect"
+	"github.com/gooseberrylock/gooseberrylock/core/quota"
+	"github.com/gooseberrylock/gooseberrylock/internal/answers"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -39,6 +41,9 @@
 // the servers' connection limits, which the next owner needs.
 const idleTimeout = 30 * time.Second
 
+// replyLimits bound the bodies of unfinished replies of all servers together, and of one reply.
+var replyLimits = quota.Config{Total: 16 << 20, PerReply: 8 << 20}
+
 // Config is the identity of the daemon that sends the attempts, and the TLS configuration.
 type Config struct {
 	Self model.VM
@@ -50,6 +55,7 @@
 // each backend server and may be used concurrently.
 type HTTP struct {
 	cfg          Config
+	replies      *quota.Pool   // unfinished replies of all servers
 	attemptCount atomic.Uint64 // attempts sent so far, for attempt IDs
 
 	mu      sync.Mutex
@@ -69,7 +75,7 @@
 
 // NewHTTP returns a client that opens its connections when they are needed.
 func NewHTTP(cfg Config) *HTTP {
-	return &HTTP{cfg: cfg, servers: make(map[serverKey]*server)}
+	return &HTTP{cfg: cfg, replies: quota.New(replyLimits), servers: make(map[serverKey]*server)}
 }
 
 // serverClient returns the client of a backend server. Each client has its own connection pool, which
@@ -84,17 +90,19 @@
 		return old, nil
 	}
 	transport := &http.Transport{
-		MaxConnsPerHost:     limits.Connections,
-		MaxIdleConnsPerHost: limits.Slots + 1,
-		IdleConnTimeout:     idleTimeout,
-		TLSClientConfig:     h.cfg.TLS,
-		DisableCompression:  true,
+		MaxConnsPerHost:        limits.Connections,
+		MaxIdleConnsPerHost:    limits.Slots + 1,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: answers.MaxHeaderBytes,
+		TLSClientConfig:        h.cfg.TLS,
+		DisableCompression:     true,
 	}
+	bounded := &answers.Transport{Next: transport, Pool: h.replies, PerBody: replyLimits.PerReply}
 	scheme := "http"
 	if h.cfg.TLS != nil {
 		scheme = "https"
 	}
-	client, err := api.NewClient(scheme+"://"+b.Address, api.WithClient(&http.Client{Transport: transport}))
+	client, err := api.NewClient(scheme+"://"+b.Address, api.WithClient(&http.Client{Transport: bounded}))
 	if err != nil {
 		return nil, eris.Wrapf(err, "backend server %s", b.ID)
 	}
--- a/daemon.go
+++ b/daemon.go
@@ -112,7 +112,7 @@
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil // the store is reached by its IP number
-	s, err := store.NewHTTP(d.cfg.Settings.Store.URL, &http.Client{Transport: transport}, d.reportUnreadable)
+	s, err := store.NewHTTP(d.cfg.Settings.Store.URL, store.NewClient(transport), d.reportUnreadable)
 	d.store = s
 	return err
 }
--- a/store/store.go
+++ b/store/store.go
@@ -13,6 +13,8 @@
 
 	api "github.com/gooseberrylock/gooseberrylock/api/store"
 	"github.com/gooseberrylock/gooseberrylock/core/event"
+	"github.com/gooseberrylock/gooseberrylock/core/quota"
+	"github.com/gooseberrylock/gooseberrylock/internal/answers"
 	"github.com/gooseberrylock/gooseberrylock/model"
 )
 
@@ -52,6 +54,16 @@
 // UnreadableFunc is called for each object that this build cannot decode. It must not block.
 type UnreadableFunc func(key model.ObjectKey, version uint64, err error)
 
+// answerLimits bound the bodies of unfinished answers. A list holds all objects of a group of daemons.
+var answerLimits = quota.Config{Total: 32 << 20, PerReply: 32 << 20}
+
+// NewClient returns an HTTP client for NewHTTP that bounds the answers of the store. It limits their heads in
+// transport.
+func NewClient(transport *http.Transport) *http.Client {
+	transport.MaxResponseHeaderBytes = answers.MaxHeaderBytes
+	return &http.Client{Transport: answers.NewTransport(transport, answerLimits)}
+}
+
 // NewHTTP returns a Store for the API at url. client provides the timeouts and the TLS
 // configuration. unreadable may be nil. It returns an error if url cannot be parsed.
 func NewHTTP(url string, client *http.Client, unreadable UnreadableFunc) (*HTTP, error) {
