Compare failures of a version with the answers around them as well

Cause: at 10 requests a second over 9 VMs a rollout of 12 s has fewer than the 14 pairs by failure that a completion asks for, since the first canary request of a VM finds no partner and the order of pairs alternates.

Change: a failed answer counts as slower than any success, so that one comparison with the answers around it covers failures and latency; a failure among failures counts for nothing. A version is completed once either the ranks or the pairs of both measures could have shown that it is worse.

--- a/core/moves/aggregate.go
+++ b/core/moves/aggregate.go
@@ -95,16 +95,20 @@
 // A version that is not worse exceeds it with a probability of at most its inverse.
 const maxDoubtRatio = 20
 
+// maxRankDoubtRatio is the same for ranks. It is lower, since the allowance for slowness keeps the ratio of a version
+// that is as fast as the old one far below 1.
+const maxRankDoubtRatio = 4
+
 // SupportsCompletion reports whether the evidence allows the move to be completed: there are so many
-// comparisons, by failure and by latency, that RollbackReason would have given a reason if the new version
-// had been worse in all of either, and no route gives cause for doubt.
+// comparisons that RollbackReason would have given a reason if the new version had been worse in all of them, by
+// failure or by latency, and no route gives cause for doubt.
 func (a *EvidenceAggregate) SupportsCompletion() bool {
-	if logRatio(a.Pairs(), 0) < a.limit() || !a.couldFindSlow() {
+	if !a.couldFindWorse() {
 		return false
 	}
 	for _, r := range a.state.routes {
 		rankRatio, _ := a.rankRatio(r)
-		if max(r.strongestEvidence().logRatio, rankRatio) >= math.Log(maxDoubtRatio) {
+		if r.strongestEvidence().logRatio >= math.Log(maxDoubtRatio) || rankRatio >= math.Log(maxRankDoubtRatio) {
 			return false
 		}
 	}
@@ -117,12 +121,12 @@
 // rankLimit returns the same for ranks.
 func (a *EvidenceAggregate) rankLimit() float64 { return logRankThreshold(max(len(a.state.routes), 1)) }
 
-// couldFindSlow reports whether the latencies compared so far, over all routes and VMs, would have given a
-// reason for a rollback if the new version had been slower in all comparisons.
-func (a *EvidenceAggregate) couldFindSlow() bool {
+// couldFindWorse reports whether the ranks, or the pairs of each measure, over all routes and VMs, would have given
+// a reason for a rollback if the new version had been worse in all of them.
+func (a *EvidenceAggregate) couldFindWorse() bool {
 	pairs, ranks := uint64(0), model.RankCounts{}
 	for _, r := range a.state.routes {
-		pairs += r.total.Slow.Pairs
+		pairs += r.comparedPairs()
 		ranks = ranks.Add(r.total.Ranks)
 	}
 	ranks.Slowest = ranks.Trials
@@ -154,7 +158,7 @@
 	}
 	if ratio, counts := a.rankRatio(r); ratio >= a.rankLimit() {
 		trials, slowest := counts.Sums()
-		return fmt.Sprintf("route %s: %d of %d queries of the new version slower than all of the old version around them, log likelihood ratio %.1f",
+		return fmt.Sprintf("route %s: %d of %d queries of the new version failed or slower than all of the old version around them, log likelihood ratio %.1f",
 			r.route, slowest, trials, ratio), true
 	}
 	return "", false
--- a/core/moves/ranks.go
+++ b/core/moves/ranks.go
@@ -13,17 +13,24 @@
 // affects both versions, from looking like a difference between them.
 const neighboursPerSide = model.MaxNeighbours / 2
 
-// failedLatency is the latency of a failed outcome of the old version: no success is slower.
+// failedLatency is the latency of a failed outcome: no success is slower.
 const failedLatency = time.Duration(math.MaxInt64)
 
+func rankedLatency(o Outcome) time.Duration {
+	if o.Failed {
+		return failedLatency
+	}
+	return o.Latency
+}
+
 // neighbour is an outcome of the old version.
 type neighbour struct {
 	at      model.Time
 	latency time.Duration
 }
 
-// rankTrial compares a successful outcome of the new version with its neighbours. If the new version is not
-// slower, it is the slowest of n neighbours and itself with a probability of at most 1/(n+1).
+// rankTrial compares an outcome of the new version with its neighbours. If the new version is neither slower nor
+// fails more often, it is the slowest of n neighbours and itself with a probability of at most 1/(n+1).
 type rankTrial struct {
 	at         model.Time
 	latency    time.Duration
@@ -37,8 +44,8 @@
 	t.slowest = t.slowest && t.latency > n.latency
 }
 
-// ranks compares the latencies of the new version on one route with those of their neighbours. A few
-// outcomes are enough for it, where the threshold of slow queries needs many.
+// ranks compares the outcomes of the new version on one route with their neighbours. A few outcomes are enough for
+// it, where pairs need more and the threshold of slow queries many.
 type ranks struct {
 	recent []neighbour // the last neighboursPerSide outcomes of the old version, oldest first
 	open   []rankTrial // trials that wait for more neighbours, oldest first
@@ -55,10 +62,7 @@
 }
 
 func (r *ranks) recordOld(o Outcome, now model.Time, counts *model.RankCounts) {
-	n := neighbour{at: now, latency: o.Latency}
-	if o.Failed {
-		n.latency = failedLatency
-	}
+	n := neighbour{at: now, latency: rankedLatency(o)}
 	for i := range r.open {
 		r.open[i].compare(n)
 		r.open[i].after++
@@ -77,10 +81,7 @@
 }
 
 func (r *ranks) recordNew(o Outcome, now model.Time) {
-	if o.Failed {
-		return
-	}
-	t := rankTrial{at: now, latency: o.Latency, slowest: true}
+	t := rankTrial{at: now, latency: rankedLatency(o), slowest: true}
 	for _, n := range r.recent {
 		if now.Sub(n.at) <= maxPairAge {
 			t.compare(n)
--- a/core/moves/ranks_test.go
+++ b/core/moves/ranks_test.go
@@ -38,7 +38,8 @@
 		{"alone", []in{{1, 9, true, false}, {5002, 8, false, false}}, model.RankCounts{}},
 		{"earlier outcome too old", []in{{0, 99, false, false}, {5001, 9, true, false}, {5002, 8, false, false}, {5003, 8, false, false}}, trials(2, 1)},
 		{"failure of the old version", []in{{0, 5, false, false}, {1, 1, false, true}, {2, 9, true, false}, {3, 7, false, false}, {4, 8, false, false}}, trials(4, 0)},
-		{"failure of the new version", []in{{0, 5, false, false}, {2, 9, true, true}, {3, 7, false, false}, {4, 8, false, false}}, model.RankCounts{}},
+		{"failure of the new version", []in{{0, 5, false, false}, {2, 1, true, true}, {3, 7, false, false}, {4, 8, false, false}}, trials(3, 1)},
+		{"failure of both", []in{{0, 5, false, true}, {2, 1, true, true}, {3, 7, false, false}, {4, 8, false, false}}, trials(3, 0)},
 		{"not decided yet", []in{{0, 5, false, false}, {1, 6, false, false}, {2, 9, true, false}, {3, 7, false, false}}, model.RankCounts{}},
 	}
 	for _, tt := range tests {
--- a/model/object.go
+++ b/model/object.go
@@ -142,8 +142,8 @@
 // compared.
 const MaxNeighbours = 4
 
-// RankCounts counts outcomes of the new version that were compared by latency with outcomes of the old
-// version around them. The index is the number of these neighbours less one.
+// RankCounts counts outcomes of the new version that were compared with outcomes of the old version around them,
+// by latency, of which a failure has the longest. The index is the number of these neighbours less one.
 type RankCounts struct {
 	Trials  [MaxNeighbours]uint64 // all compared outcomes
 	Slowest [MaxNeighbours]uint64 // those that were slower than all neighbours
