--- a/soak/faults.go
+++ b/soak/faults.go
@@ -56,6 +56,13 @@
 		d := dep.randomDaemon()
 		return setProxyFault(d.store, dep.randomFaultMode(), d.name)
 	}},
+	{"store_conns", func(dep *deployment) (string, func()) {
+		for _, d := range dep.daemons {
+			d.store.muteOpen()
+			d.markDisturbed()
+		}
+		return "open connections of all", func() {}
+	}},
 	{"store_down", func(dep *deployment) (string, func()) {
 		dep.store.SetUnavailable(true)
 		return "store", func() { dep.store.SetUnavailable(false) }
@@ -77,7 +84,12 @@
 		dep.changeConfig()
 		return fmt.Sprintf("version %d", dep.configVersion), func() {}
 	}},
-	{"drain", func(dep *deployment) (string, func()) { return dep.drainServer() }},
+	{"drain", func(dep *deployment) (string, func()) {
+		return dep.takeServerOut(func(s *server) { dep.register(s, wire.StateDraining) })
+	}},
+	{"leave", func(dep *deployment) (string, func()) {
+		return dep.takeServerOut(func(s *server) { dep.store.Remove(wire.KindReplicas, s.ID) })
+	}},
 	{"rollout", func(dep *deployment) (string, func()) { return dep.startRollout(dep.rng) }},
 }
 
@@ -121,10 +133,10 @@
 	return s.ID, func() { set(false) }
 }
 
-// drainServer registers a server as draining, and as ready again when the fault ends.
-func (dep *deployment) drainServer() (string, func()) {
+// takeServerOut withdraws a server from use, and registers it as ready again when the fault ends.
+func (dep *deployment) takeServerOut(withdraw func(*server)) (string, func()) {
 	s := dep.randomServer()
-	dep.register(s, wire.StateDraining)
+	withdraw(s)
 	s.mu.Lock()
 	s.drainingSince = time.Now()
 	s.mu.Unlock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -35,6 +35,7 @@
 	mu    sync.Mutex
 	mode  mode
 	conns map[net.Conn]bool
+	muted map[net.Conn]bool // those of which no data passes any more
 }
 
 func newProxy(address, target string) (*proxy, error) {
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{lis: lis, target: target, mode: modePass, conns: make(map[net.Conn]bool)}
+	p := &proxy{lis: lis, target: target, mode: modePass, conns: make(map[net.Conn]bool), muted: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -75,6 +76,21 @@
 	}
 }
 
+// muteOpen makes the open connections go silent for good. New ones work.
+func (p *proxy) muteOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.muted[c] = true
+	}
+}
+
+func (p *proxy) isMuted(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.muted[c]
+}
+
 // reset closes a connection so that the peer sees a TCP reset.
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -111,8 +127,10 @@
 	wg.Go(func() { p.copyDirection(in, out, true) })
 	wg.Wait()
 	p.mu.Lock()
-	delete(p.conns, in)
-	delete(p.conns, out)
+	for _, c := range []net.Conn{in, out} {
+		delete(p.conns, c)
+		delete(p.muted, c)
+	}
 	p.mu.Unlock()
 	_ = in.Close()
 	_ = out.Close()
@@ -129,7 +147,7 @@
 		if p.currentMode() == modeDelay {
 			time.Sleep(rand.N(maxProxyDelay))
 		}
-		if n > 0 {
+		if n > 0 && !p.isMuted(src) {
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
 			}
