--- a/review/stand3/daemon.go
+++ b/review/stand3/daemon.go
@@ -15,6 +15,7 @@
 const (
 	heartbeat    = 1200 * time.Millisecond
 	metricsPort  = "9464"
+	reservedPort = "9465"
 	startTimeout = 10 * time.Second
 )
 
@@ -27,15 +28,22 @@
 	rec            *recorder
 }
 
-// freeIP returns a loopback address at which the metrics port is free.
+// freeIP returns a loopback address at which the metrics port is free. It keeps a port next to that one open, so
+// that another run of the stand-ins takes another address.
 func freeIP() string {
 	for range 500 {
 		nextIP++
 		ip := fmt.Sprintf("127.%d.%d.%d", 30+os.Getpid()%200, nextIP/200, 1+nextIP%200)
+		reserved, err := net.Listen("tcp", net.JoinHostPort(ip, reservedPort))
+		if err != nil {
+			continue
+		}
 		if lis, err := net.Listen("tcp", net.JoinHostPort(ip, metricsPort)); err == nil {
 			_ = lis.Close()
+			cleanup = append(cleanup, func() { _ = reserved.Close() })
 			return ip
 		}
+		_ = reserved.Close()
 	}
 	fail("no loopback address has a free metrics port")
 	return ""
--- a/review/stand3/searcher.go
+++ b/review/stand3/searcher.go
@@ -142,7 +142,7 @@
 		return
 	}
 	if s.arrived() {
-		return
+		panic(http.ErrAbortHandler) // a crash closes the connection
 	}
 	if r.URL.Path == "/healthz" {
 		s.health(w)
