--- a/review/stand3/cold.go
+++ b/review/stand3/cold.go
@@ -13,26 +13,7 @@
 // playCold: a zone is evacuated and taken back. Its searchers have become cold shortly before it is taken back.
 // Without the trouble they have become cold two heartbeats before, so that their entries say so in time.
 func playCold(e *env) bool {
-	const bound = coldPerSecond*warmupFactor + warmupSlack
-	var back []*searcher
-	for _, id := range []string{"1", "2"} {
-		e.addSearcher("a"+id, "filing", "zone-a", 25*time.Millisecond)
-		s := e.addSearcher("b"+id, "filing", "zone-b", 25*time.Millisecond)
-		s.crashAbove = 4 * coldPerSecond
-		back = append(back, s)
-	}
-	e.configure(1, coldPerSecond, []route{newRoute("file", "/file/", "unsafe", "filing")}, "filing")
-	for i, zone := range []string{"zone-a", "zone-b", "zone-a"} {
-		e.addDaemon("front-"+string(rune('1'+i)), zone)
-	}
-	for _, d := range e.daemons {
-		d.waitReady()
-	}
-	l := newLoad(e.rec, "r", e.daemons, "POST", "/file/new")
-	l.body = []byte("a filing")
-	l.start(200)
-	time.Sleep(5 * time.Second)
-
+	back, l := e.startFiling()
 	e.store.put("evacuations", "zone-b", struct{}{})
 	e.rec.say("operator: zone-b is evacuated")
 	time.Sleep(evacuated)
@@ -47,16 +28,26 @@
 	e.store.remove("evacuations", "zone-b")
 	e.rec.say("operator: zone-b is taken back, %v after its searchers have become cold", early)
 	time.Sleep(coldTime)
-	answers := l.stop()
+	return e.judgeCold(back, l.stop())
+}
+
+// coldBound is the number of requests that a cold searcher may get in one second.
+const coldBound = coldPerSecond*warmupFactor + warmupSlack
 
+// judgeCold tells how many requests the searchers got while they were cold, and whether one got too many.
+func (e *env) judgeCold(searchers []*searcher, answers []answered) bool {
 	broken := false
-	for _, s := range back {
+	for _, s := range searchers {
 		s.mu.Lock()
 		most, from := mostInOneSecond(s.coldHits)
 		crashed := s.crashed
 		s.mu.Unlock()
-		e.rec.say("%s got %d requests in one second while cold (from %.3f s on), the bound is %.0f; crashed: %v", s.id, most, from.Sub(e.rec.start).Seconds(), bound, crashed)
-		broken = broken || float64(most) > bound
+		at := 0.0
+		if most > 0 {
+			at = from.Sub(e.rec.start).Seconds()
+		}
+		e.rec.say("%s got %d requests in one second while cold (from %.3f s on), the bound is %.0f; crashed: %v", s.id, most, at, coldBound, crashed)
+		broken = broken || float64(most) > coldBound
 	}
 	failed := 0
 	for _, a := range answers {
@@ -67,3 +58,52 @@
 	e.rec.say("%d requests, %d of them without success", len(answers), failed)
 	return broken
 }
+
+// startFiling starts three daemons and a service with two searchers in each zone, with requests that must not be
+// repeated. It returns the searchers of zone b.
+func (e *env) startFiling() ([]*searcher, *load) {
+	var zoneB []*searcher
+	for _, id := range []string{"1", "2"} {
+		e.addSearcher("a"+id, "filing", "zone-a", 16*time.Millisecond)
+		s := e.addSearcher("b"+id, "filing", "zone-b", 16*time.Millisecond)
+		s.crashAbove = 4 * coldPerSecond
+		zoneB = append(zoneB, s)
+	}
+	e.configure(1, coldPerSecond, []route{newRoute("file", "/file/", "unsafe", "filing")}, "filing")
+	for i, zone := range []string{"zone-a", "zone-b", "zone-a"} {
+		e.addDaemon("front-"+string(rune('1'+i)), zone)
+	}
+	for _, d := range e.daemons {
+		d.waitReady()
+	}
+	l := newLoad(e.rec, "r", e.daemons, "POST", "/file/new")
+	l.body = []byte("a filing")
+	l.start(300)
+	time.Sleep(5 * time.Second)
+	return zoneB, l
+}
+
+const (
+	storeAway    = 4500 * time.Millisecond
+	searchersOut = 2 * time.Second
+)
+
+// playReborn: the searchers of a zone end and start again cold, under the ids and at the addresses that they had, while
+// the store is away. Without the trouble the store is there.
+func playReborn(e *env) bool {
+	back, l := e.startFiling()
+	if e.trouble {
+		e.store.down()
+		e.rec.say("the store is away")
+		time.AfterFunc(storeAway, func() {
+			e.store.up()
+			e.rec.say("the store is back")
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, s := range back {
+		go s.restart(searchersOut, coldTime)
+	}
+	time.Sleep(storeAway + coldTime)
+	return e.judgeCold(back, l.stop())
+}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -19,8 +19,9 @@
 type play func(e *env) bool
 
 var plays = map[string]play{
-	"era":  playEra,
-	"cold": playCold,
+	"era":    playEra,
+	"cold":   playCold,
+	"reborn": playReborn,
 }
 
 // env is what a case works with.
--- a/review/stand3/searcher.go
+++ b/review/stand3/searcher.go
@@ -90,7 +90,7 @@
 func (s *searcher) beat() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.crashed {
+	if s.crashed || s.store.isAway() {
 		return
 	}
 	s.sequence++
@@ -116,6 +116,27 @@
 	s.rec.line("%s is cold from now on, for %v", s.id, d)
 }
 
+// restart ends the searcher without a word and starts it again after some time, cold, at its address and under its
+// id. It then tells its state at once, if the store is there, and at its heartbeats.
+func (s *searcher) restart(after, cold time.Duration) {
+	s.mu.Lock()
+	s.crashed = true
+	s.mu.Unlock()
+	_ = s.srv.Close()
+	s.rec.line("%s ends", s.id)
+	time.Sleep(after)
+	lis := must(net.Listen("tcp", s.address))
+	s.mu.Lock()
+	s.crashed, s.told, s.sequence, s.born = false, "", 0, time.Now().UnixMilli()
+	s.coldUntil = time.Now().Add(cold)
+	s.srv = &http.Server{Handler: s}
+	srv := s.srv
+	s.mu.Unlock()
+	s.beat()
+	s.rec.line("%s has started again, cold for %v", s.id, cold)
+	go func() { _ = srv.Serve(lis) }()
+}
+
 // drain makes the searcher say that it leaves, and returns when the store has accepted that.
 func (s *searcher) drain() {
 	s.mu.Lock()
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -68,6 +68,7 @@
 	changed chan struct{} // closed at each change
 	data    contents
 	era     int
+	away    bool // nothing can be written or read
 	server  *http.Server
 	calls   int
 	second  int64 // the second in which reads and writes are counted
@@ -93,9 +94,25 @@
 }
 
 // down ends all connections and refuses new ones until up.
-func (s *store) down() { _ = s.server.Close() }
+func (s *store) down() {
+	s.setAway(true)
+	_ = s.server.Close()
+}
+
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
 
 func (s *store) up() {
+	s.setAway(false)
 	for range 100 {
 		if lis, err := net.Listen("tcp", s.address); err == nil {
 			s.serve(lis)
