--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -16,7 +16,11 @@
 	Target   float64 `json:"target_latency_ms"`
 	Priority int     `json:"priority"`
 	Attempts int     `json:"max_attempts"`
-	Service  string  `json:"service"`
+	Service  string  `json:"service,omitempty"`
+	// Gather, TopK and Coverage are set on a route that is gathered.
+	Gather   []string `json:"gather,omitempty"`
+	TopK     int      `json:"top_k,omitempty"`
+	Coverage float64  `json:"min_coverage,omitempty"`
 }
 
 func newRoute(name, prefix, kind, service string) route {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -22,6 +22,7 @@
 	"era":    playEra,
 	"cold":   playCold,
 	"reborn": playReborn,
+	"recut":  playRecut,
 }
 
 // env is what a case works with.
--- a/review/stand3/searcher.go
+++ b/review/stand3/searcher.go
@@ -295,11 +295,15 @@
 	return append([]run(nil), s.runs...)
 }
 
-// mostInOneSecond returns the largest number of times within a sliding second, and its first time.
+// arrivalWindow is a second less the time that a request may have been on its way, since only requests count that were
+// sent and arrived inside one second.
+const arrivalWindow = 950 * time.Millisecond
+
+// mostInOneSecond returns the largest number of arrivals within a sliding arrivalWindow, and the first of them.
 func mostInOneSecond(times []time.Time) (int, time.Time) {
 	most, from, first := 0, time.Time{}, 0
 	for i, at := range times {
-		for at.Sub(times[first]) >= time.Second {
+		for at.Sub(times[first]) >= arrivalWindow {
 			first++
 		}
 		if n := i - first + 1; n > most {
