--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15. Run it after the build of the deploy file.
+# Builds the stand-ins of the cases 11 to 13. Run it after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/stand3"
-GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -o ../../target/review-stand3 .
+mkdir -p ../../target
+GOFLAGS= GOTOOLCHAIN=local go build -buildvcs=false -o ../../target/review-stand3 .
--- a/review/stand3/cold.go
+++ b/review/stand3/cold.go
@@ -82,28 +82,3 @@
 	time.Sleep(5 * time.Second)
 	return zoneB, l
 }
-
-const (
-	storeAway    = 4500 * time.Millisecond
-	searchersOut = 2 * time.Second
-)
-
-// playReborn: the searchers of a zone end and start again cold, under the ids and at the addresses that they had, while
-// the store is away. Without the trouble the store is there.
-func playReborn(e *env) bool {
-	back, l := e.startFiling()
-	if e.trouble {
-		e.store.down()
-		e.rec.say("the store is away")
-		time.AfterFunc(storeAway, func() {
-			e.store.up()
-			e.rec.say("the store is back")
-		})
-	}
-	time.Sleep(500 * time.Millisecond)
-	for _, s := range back {
-		go s.restart(searchersOut, coldTime)
-	}
-	time.Sleep(storeAway + coldTime)
-	return e.judgeCold(back, l.stop())
-}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -1,4 +1,4 @@
-// Command stand3 plays the cases 11 to 15 of the review: it starts the daemons of the system as processes and
+// Command stand3 plays the cases 11 to 13 of the review: it starts the daemons of the system as processes and
 // stands in for the platform's store, the searchers and the clients.
 package main
 
@@ -19,10 +19,9 @@
 type play func(e *env) bool
 
 var plays = map[string]play{
-	"era":    playEra,
-	"cold":   playCold,
-	"reborn": playReborn,
-	"recut":  playRecut,
+	"era":   playEra,
+	"cold":  playCold,
+	"recut": playRecut,
 }
 
 // env is what a case works with.
--- a/review/stand3/searcher.go
+++ b/review/stand3/searcher.go
@@ -49,6 +49,7 @@
 	arrivals  []time.Time // not counting requests for another searcher
 	coldHits  []time.Time // arrivals while cold
 	stop      chan struct{}
+	once      sync.Once // for close
 }
 
 func newSearcher(s *store, rec *recorder, id, service, zone string, work time.Duration) *searcher {
@@ -116,27 +117,6 @@
 	s.rec.line("%s is cold from now on, for %v", s.id, d)
 }
 
-// restart ends the searcher without a word and starts it again after some time, cold, at its address and under its
-// id. It then tells its state at once, if the store is there, and at its heartbeats.
-func (s *searcher) restart(after, cold time.Duration) {
-	s.mu.Lock()
-	s.crashed = true
-	s.mu.Unlock()
-	_ = s.srv.Close()
-	s.rec.line("%s ends", s.id)
-	time.Sleep(after)
-	lis := must(net.Listen("tcp", s.address))
-	s.mu.Lock()
-	s.crashed, s.told, s.sequence, s.born = false, "", 0, time.Now().UnixMilli()
-	s.coldUntil = time.Now().Add(cold)
-	s.srv = &http.Server{Handler: s}
-	srv := s.srv
-	s.mu.Unlock()
-	s.beat()
-	s.rec.line("%s has started again, cold for %v", s.id, cold)
-	go func() { _ = srv.Serve(lis) }()
-}
-
 // drain makes the searcher say that it leaves, and returns when the store has accepted that.
 func (s *searcher) drain() {
 	s.mu.Lock()
@@ -145,9 +125,12 @@
 	s.beat()
 }
 
+// close ends the searcher. It does nothing if that has been called before.
 func (s *searcher) close() {
-	close(s.stop)
-	_ = s.srv.Close()
+	s.once.Do(func() {
+		close(s.stop)
+		_ = s.srv.Close()
+	})
 }
 
 // ServeHTTP implements http.Handler.
