--- a/review/stand3/daemon.go
+++ b/review/stand3/daemon.go
@@ -122,11 +122,6 @@
 	fail(d.name + " does not become ready")
 }
 
-func (d *daemon) signal(sig syscall.Signal) {
-	d.rec.line("%s gets %v", d.name, sig)
-	check(d.cmd.Process.Signal(sig))
-}
-
 func (d *daemon) kill() {
 	if d.cmd != nil && d.cmd.Process != nil {
 		_ = d.cmd.Process.Kill()
